--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 CC ?= gcc
 CXX ?= g++
 PACKAGES = libuv json-c argtable2 glib-2.0 openssl libtirpc libxxhash
-DEBIAN_PACKAGES = libuv1-dev libh2o-dev libtirpc-dev rpcsvc-proto \
+DEBIAN_PACKAGES = libuv1-dev libhttp-parser-dev libtirpc-dev rpcsvc-proto \
 	libjson-c-dev libargtable2-dev libglib2.0-dev libxxhash-dev \
 	libssl-dev libgtest-dev librapidcheck-dev pkg-config clang-format \
 	clang-tidy g++ gcc make curl jq
@@ -13,10 +13,10 @@
 OPT ?= -O2 -g
 PKG_CFLAGS := $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
 PKG_LIBS := $(shell pkg-config --libs $(PACKAGES) 2>/dev/null)
-CPPFLAGS += -I. -D_GNU_SOURCE -DH2O_USE_LIBUV=1
+CPPFLAGS += -I. -D_GNU_SOURCE
 CFLAGS += -std=gnu11 $(OPT) $(WARNINGS)
 CXXFLAGS += -std=gnu++17 $(OPT) -Wall -Wextra
-LDLIBS = -lh2o $(PKG_LIBS) -lm
+LDLIBS = -lhttp_parser $(PKG_LIBS) -lm
 
 ifeq ($(SANITIZE),1)
 BUILD := build-sanitize
@@ -25,7 +25,7 @@
 LDFLAGS += -fsanitize=address,undefined
 endif
 
-SLICES = config member limit route rollout session order usage backend \
+SLICES = exchange config member limit route rollout session order usage backend \
 	platform trace door daemon wire http answer lease
 LIB_SRC = $(filter-out daemon/chivegwd.c,$(wildcard *.c) \
 	$(foreach s,$(SLICES),$(wildcard $(s)/*.c)))
@@ -46,7 +46,7 @@
 
 # Decisions: no sockets, clocks, loops or global state in these.
 TASK_SRC = $(wildcard */*-task.c)
-PURE_SLICES = config member limit route rollout session order usage answer \
+PURE_SLICES = exchange config member limit route rollout session order usage answer \
 	lease wire
 PURE_SRC = verdict.c rng.c json-check.c backend/placement.c $(filter-out $(TASK_SRC), \
 	$(foreach s,$(PURE_SLICES),$(wildcard $(s)/*.c)))
--- a/http/client.c
+++ b/http/client.c
@@ -1,40 +1,77 @@
 #include "http/client.h"
 
-#include <arpa/inet.h>
+#include <http_parser.h>
+#include <stdlib.h>
 #include <string.h>
-#include <h2o.h>
-#include <h2o/http1client.h>
 
 #include "http/address.h"
+#include "http/socket.h"
 
-#define IO_BACKSTOP_MS (3600 * 1000)
-#define POOL_IDLE_MS 20000
-#define POOL_CAPACITY 4096
+#define READ_BYTES 65536
+#define IDLE_MS 15000
+#define IDLE_SLACK_MS 300
+#define USER_TIMEOUT_MS 3000
+#define MAX_HEAD_FIELDS 128
+
+struct conn;
+
+/* Connections to one server. */
+struct pool {
+	char *name;
+	struct hc *hc;
+	GQueue idle; /* struct conn, the latest used first */
+	uint32_t open; /* idle and in use */
+	bool forgotten; /* frees itself with its last connection */
+};
 
 struct hc {
 	uv_loop_t *loop;
-	h2o_timeout_t io_timeout;
-	h2o_http1client_ctx_t ctx;
-	GHashTable *pools; /* address -> h2o_socketpool_t */
+	GHashTable *pools; /* name -> struct pool */
+	uint64_t connects;
+	uint64_t crossed;
+	char read_buffer[READ_BYTES];
+};
+
+struct conn {
+	struct pool *pool;
+	uv_tcp_t tcp;
+	uv_timer_t timer; /* closes it when idle */
+	unsigned int open_handles;
+	uv_connect_t connect;
+	uv_write_t write;
+	http_parser parser;
+	struct htm_fields fields;
+	struct hc_call *call;
+	char *sending; /* bytes of the request under way */
+	uint64_t idle_since;
+	uint64_t keep_ms;
+	bool connected;
+	bool writing;
+	bool used_before;
+	bool dropping; /* the answer under way is of another request */
+	bool message_done;
+	bool head_seen;
+	bool closed;
+	bool server_closes;
 };
 
 struct hc_call {
 	struct hc *hc;
-	h2o_http1client_t *client;
+	struct conn *conn;
 	struct hc_events events;
 	void *user;
-	char *bytes; /* the request as sent */
-	h2o_iovec_t buf;
+	char *bytes; /* the request, until it is sent */
+	size_t len;
+	char *id_name;
+	char *id_value;
 	uint32_t first_ms;
 	uint32_t progress_ms;
-	char *pooled; /* address whose kept connections it may use, or NULL */
 	uint64_t total_at; /* loop time, ms; 0: none */
 	uv_timer_t timer;
 	bool head_only;
-	bool framed; /* the answer says where it ends */
-	bool connected;
+	bool reused;
+	bool sent;
 	bool ended;
-	bool in_callback;
 	enum hc_end end;
 };
 
@@ -44,11 +81,7 @@
 	struct hc *hc = g_new0(struct hc, 1);
 
 	hc->loop = loop;
-	h2o_timeout_init(loop, &hc->io_timeout, IO_BACKSTOP_MS);
-	hc->ctx.loop = loop;
-	hc->ctx.io_timeout = &hc->io_timeout;
-	hc->pools =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	hc->pools = g_hash_table_new(g_str_hash, g_str_equal);
 	return hc;
 }
 
@@ -58,19 +91,110 @@
 	return uv_now(hc->loop);
 }
 
-static h2o_socketpool_t *pool_of(struct hc *hc, const char *address,
-				 struct sockaddr_in *sa)
+/* Returns the number of connections ever opened. */
+uint64_t hc_connects(const struct hc *hc)
+{
+	return hc->connects;
+}
+
+/* Returns how many answers were dropped as another request's. */
+uint64_t hc_crossed(const struct hc *hc)
 {
-	h2o_socketpool_t *pool = g_hash_table_lookup(hc->pools, address);
+	return hc->crossed;
+}
 
-	if (pool)
-		return pool;
-	pool = g_new0(h2o_socketpool_t, 1);
-	h2o_socketpool_init_by_address(pool, (struct sockaddr *)sa, sizeof(*sa),
-				       0, POOL_CAPACITY);
-	h2o_socketpool_set_timeout(pool, hc->loop, POOL_IDLE_MS);
-	g_hash_table_insert(hc->pools, g_strdup(address), pool);
-	return pool;
+/* Changes the limit between two arrivals of bytes from the next one on. */
+void hc_set_progress(struct hc_call *call, uint32_t progress_ms)
+{
+	call->progress_ms = progress_ms;
+}
+
+/* Tells whether a byte of the request may have left. */
+bool hc_was_sent(const struct hc_call *call)
+{
+	return call->sent;
+}
+
+static struct pool *pool_of(struct hc *hc, const char *name)
+{
+	struct pool *p = g_hash_table_lookup(hc->pools, name);
+
+	if (p)
+		return p;
+	p = g_new0(struct pool, 1);
+	p->name = g_strdup(name);
+	p->hc = hc;
+	g_queue_init(&p->idle);
+	g_hash_table_insert(hc->pools, p->name, p);
+	return p;
+}
+
+static void free_pool_if_done(struct pool *p)
+{
+	if (!p->forgotten || p->open)
+		return;
+	g_free(p->name);
+	g_free(p);
+}
+
+static void on_conn_closed(uv_handle_t *handle)
+{
+	struct conn *c = handle->data;
+
+	if (--c->open_handles)
+		return;
+	htm_fields_clear(&c->fields);
+	g_free(c->sending);
+	g_free(c);
+}
+
+static void close_conn(struct conn *c)
+{
+	struct pool *p = c->pool;
+
+	if (c->closed)
+		return;
+	c->closed = true;
+	if (c->call)
+		c->call->conn = NULL;
+	else
+		g_queue_remove(&p->idle, c);
+	c->call = NULL;
+	uv_close((uv_handle_t *)&c->timer, on_conn_closed);
+	uv_close((uv_handle_t *)&c->tcp, on_conn_closed);
+	p->open--;
+	free_pool_if_done(p);
+}
+
+static void close_idle(struct pool *p)
+{
+	struct conn *c;
+
+	while ((c = g_queue_peek_head(&p->idle)))
+		close_conn(c);
+}
+
+/* Closes the kept connections of a pool; calls under way go on. */
+void hc_forget(struct hc *hc, const char *pool)
+{
+	struct pool *p = g_hash_table_lookup(hc->pools, pool);
+
+	if (!p)
+		return;
+	g_hash_table_remove(hc->pools, pool);
+	p->open++;
+	close_idle(p);
+	p->open--;
+	p->forgotten = true;
+	free_pool_if_done(p);
+}
+
+/* Returns the number of open connections of a pool. */
+uint32_t hc_open(const struct hc *hc, const char *pool)
+{
+	const struct pool *p = g_hash_table_lookup(hc->pools, pool);
+
+	return p ? p->open : 0;
 }
 
 static void on_timer_closed(uv_handle_t *timer)
@@ -79,7 +203,8 @@
 
 	call->events.done(call->user, call->end);
 	g_free(call->bytes);
-	g_free(call->pooled);
+	g_free(call->id_name);
+	g_free(call->id_value);
 	g_free(call);
 }
 
@@ -96,29 +221,29 @@
 	uv_close((uv_handle_t *)&call->timer, on_timer_closed);
 }
 
-static void arm(struct hc_call *call, uint64_t ms);
-
-/*
- * Uses the kept connections to an address no more: what silenced one of them
- * has most likely silenced all. They close when their idle time is over; the
- * pool stays, since calls under way still refer to it.
- */
-static void retire_pool(struct hc *hc, const char *address)
+/* Ends a connection and the call that it carries. */
+static void fail_conn(struct conn *c, enum hc_end end)
 {
-	g_hash_table_remove(hc->pools, address);
+	struct hc_call *call = c->call;
+
+	close_conn(c);
+	if (call)
+		finish(call, call->sent ? end : HC_NOT_SENT);
 }
 
 static void on_limit(uv_timer_t *timer)
 {
 	struct hc_call *call = timer->data;
-	enum hc_end end = call->connected ? HC_SILENT : HC_NOT_SENT;
+	struct conn *c = call->conn;
 
-	if (call->connected && call->pooled)
-		retire_pool(call->hc, call->pooled);
-	if (call->client)
-		h2o_http1client_cancel(call->client);
-	call->client = NULL;
-	finish(call, end);
+	if (!c) {
+		finish(call, HC_NOT_SENT);
+		return;
+	}
+	/* What silenced one kept connection has most likely silenced all. */
+	if (call->reused)
+		close_idle(c->pool);
+	fail_conn(c, HC_SILENT);
 }
 
 static void arm(struct hc_call *call, uint64_t ms)
@@ -133,133 +258,335 @@
 	uv_timer_start(&call->timer, on_limit, ms, 0);
 }
 
-static void deliver(struct hc_call *call)
+static void on_idle_limit(uv_timer_t *timer)
 {
-	h2o_buffer_t *in = call->client->sock->input;
+	close_conn(timer->data);
+}
 
-	if (!in->size)
-		return;
-	call->events.data(call->user, in->bytes, in->size);
-	if (call->client && call->client->sock)
-		h2o_buffer_consume(&call->client->sock->input,
-				   call->client->sock->input->size);
+static uint64_t keep_ms_of(const struct htm_fields *fields)
+{
+	const char *value = htm_find(fields, "keep-alive");
+	const char *timeout = value ? strstr(value, "timeout=") : NULL;
+	uint64_t ms;
+
+	if (!timeout)
+		return IDLE_MS;
+	ms = g_ascii_strtoull(timeout + strlen("timeout="), NULL, 10) * 1000;
+	return ms > 2 * IDLE_SLACK_MS ? MIN(ms - IDLE_SLACK_MS, IDLE_MS)
+				      : ms / 2;
 }
 
-static int on_body(h2o_http1client_t *client, const char *errstr)
+static void keep_conn(struct conn *c)
 {
-	struct hc_call *call = client->data;
+	c->call = NULL;
+	c->idle_since = uv_now(c->pool->hc->loop);
+	g_queue_push_head(&c->pool->idle, c);
+	uv_timer_start(&c->timer, on_idle_limit, c->keep_ms, 0);
+}
 
-	if (call->ended) {
-		call->client = NULL;
-		return -1;
+/* The answer to the call is whole. `rest`: bytes that came after it. */
+static void answer_done(struct conn *c, bool rest)
+{
+	struct hc_call *call = c->call;
+	bool keep = !rest && !c->writing && !c->server_closes &&
+		    http_should_keep_alive(&c->parser) && !c->pool->forgotten;
+
+	if (keep) {
+		call->conn = NULL;
+		c->used_before = true;
+		keep_conn(c);
+	} else {
+		close_conn(c);
 	}
-	call->in_callback = true;
-	if (!errstr || errstr == h2o_http1client_error_is_eos)
-		deliver(call);
-	call->in_callback = false;
-	if (call->ended) {
-		call->client = NULL;
+	finish(call, HC_WHOLE);
+}
+
+static void begin_answer(struct conn *c)
+{
+	http_parser_init(&c->parser, HTTP_RESPONSE);
+	c->parser.data = c;
+	htm_fields_reset(&c->fields);
+	c->message_done = false;
+	c->head_seen = false;
+	c->dropping = false;
+}
+
+static int on_name(http_parser *p, const char *at, size_t len)
+{
+	struct conn *c = p->data;
+
+	if (htm_fields_count(&c->fields) > MAX_HEAD_FIELDS)
 		return -1;
+	if (!c->head_seen)
+		htm_fields_add_name(&c->fields, at, len);
+	return 0;
+}
+
+static int on_value(http_parser *p, const char *at, size_t len)
+{
+	struct conn *c = p->data;
+
+	if (!c->head_seen)
+		htm_fields_add_value(&c->fields, at, len);
+	return 0;
+}
+
+static bool is_of_another(const struct conn *c)
+{
+	const struct hc_call *call = c->call;
+	const char *id;
+
+	if (!call->id_name)
+		return false;
+	id = htm_find(&c->fields, call->id_name);
+	return id && strcmp(id, call->id_value) != 0;
+}
+
+/* Tells whether the answer says where it ends (RFC 9112, 6.3). */
+static bool is_framed(const http_parser *p)
+{
+	return (p->flags & F_CHUNKED) || p->content_length != UINT64_MAX ||
+	       p->status_code == 204 || p->status_code == 304;
+}
+
+static void tell_head(struct conn *c)
+{
+	struct hc_call *call = c->call;
+	const struct htm_fields *f = &c->fields;
+	const char *retry_after = htm_find(f, "retry-after");
+	struct hc_head head = {
+		.status = (int)c->parser.status_code,
+		.request_id = htm_find(f, "x-request-id"),
+		.etag = htm_find(f, "etag"),
+		.type = htm_find(f, "content-type"),
+		.retry_after_s = -1,
+		.fields = f,
+		.framed = is_framed(&c->parser),
+		.reused = call->reused,
+	};
+
+	if (retry_after)
+		head.retry_after_s = g_ascii_strtoll(retry_after, NULL, 10);
+	call->events.head(call->user, &head);
+}
+
+static int on_headers(http_parser *p)
+{
+	struct conn *c = p->data;
+	const char *connection;
+
+	htm_fields_done(&c->fields);
+	if (p->status_code < 200) {
+		/* An interim response has neither body nor meaning here. */
+		c->dropping = true;
+		return 0;
 	}
-	if (!errstr) {
-		arm(call, call->progress_ms);
+	c->head_seen = true;
+	connection = htm_find(&c->fields, "connection");
+	c->server_closes =
+		connection && !g_ascii_strcasecmp(connection, "close");
+	c->keep_ms = keep_ms_of(&c->fields);
+	if (is_of_another(c)) {
+		c->dropping = true;
+		c->pool->hc->crossed++;
 		return 0;
 	}
-	call->client = NULL;
-	if (errstr == h2o_http1client_error_is_eos && call->framed)
-		finish(call, HC_WHOLE);
-	else
-		finish(call, HC_BROKEN);
-	return 0;
+	tell_head(c);
+	if (!c->call || c->call->ended)
+		return 0;
+	return c->call->head_only ? 1 : 0;
 }
 
-static bool header_is(const h2o_header_t *h, const char *name)
+static int on_body(http_parser *p, const char *at, size_t len)
 {
-	return h2o_lcstris(h->name->base, h->name->len, name, strlen(name));
+	struct conn *c = p->data;
+
+	if (c->call && !c->call->ended && !c->dropping)
+		c->call->events.data(c->call->user, at, len);
+	return 0;
 }
 
-static void take_header(struct hc_call *call, struct hc_head *head,
-			const h2o_header_t *h)
+static int on_message(http_parser *p)
 {
-	if (header_is(h, "x-request-id")) {
-		g_free(head->request_id);
-		head->request_id = g_strndup(h->value.base, h->value.len);
-	} else if (header_is(h, "etag")) {
-		g_free(head->etag);
-		head->etag = g_strndup(h->value.base, h->value.len);
-	} else if (header_is(h, "content-type")) {
-		g_free(head->type);
-		head->type = g_strndup(h->value.base, h->value.len);
-	} else if (header_is(h, "retry-after")) {
-		g_autofree char *v = g_strndup(h->value.base, h->value.len);
+	struct conn *c = p->data;
 
-		head->retry_after_s = g_ascii_strtoll(v, NULL, 10);
-	} else if (header_is(h, "content-length") ||
-		   header_is(h, "transfer-encoding")) {
-		call->framed = true;
+	c->message_done = true;
+	http_parser_pause(p, 1);
+	return 0;
+}
+
+static const http_parser_settings settings = {
+	.on_header_field = on_name,
+	.on_header_value = on_value,
+	.on_headers_complete = on_headers,
+	.on_body = on_body,
+	.on_message_complete = on_message,
+};
+
+/* Takes bytes of answers; each may end one and begin the next. */
+static void take_bytes(struct conn *c, const char *data, size_t n)
+{
+	while (n && c->call && !c->call->ended) {
+		size_t used =
+			http_parser_execute(&c->parser, &settings, data, n);
+		enum http_errno e = HTTP_PARSER_ERRNO(&c->parser);
+
+		if (!c->call || c->call->ended || c->closed)
+			return;
+		if (e == HPE_PAUSED && c->message_done) {
+			http_parser_pause(&c->parser, 0);
+			data += used;
+			n -= used;
+			if (c->dropping) {
+				begin_answer(c);
+				continue;
+			}
+			answer_done(c, n > 0);
+			return;
+		}
+		if (e != HPE_OK || c->parser.upgrade) {
+			fail_conn(c, HC_BROKEN);
+			return;
+		}
+		return;
 	}
 }
 
-static h2o_http1client_body_cb
-on_head(h2o_http1client_t *client, const char *errstr, int minor, int status,
-	h2o_iovec_t msg, h2o_header_t *headers, size_t num, int rlen)
+/* The server has closed its side in order. */
+static void take_end(struct conn *c)
 {
-	struct hc_call *call = client->data;
-	struct hc_head head = {.status = status, .retry_after_s = -1};
-	bool eos = errstr == h2o_http1client_error_is_eos;
+	struct hc_call *call = c->call;
 
-	(void)minor;
-	(void)msg;
-	(void)rlen;
-	if (call->ended || (errstr && !eos)) {
-		call->client = NULL;
-		finish(call, HC_BROKEN);
-		return NULL;
+	if (!call) {
+		close_conn(c);
+		return;
 	}
-	for (size_t i = 0; i < num; i++)
-		take_header(call, &head, &headers[i]);
-	call->in_callback = true;
-	call->events.head(call->user, &head);
-	call->in_callback = false;
-	g_free(head.request_id);
-	g_free(head.etag);
-	g_free(head.type);
-	if (call->ended || eos) {
-		call->client = NULL;
+	if (c->head_seen && !c->dropping && !c->message_done &&
+	    !is_framed(&c->parser) &&
+	    http_parser_execute(&c->parser, &settings, NULL, 0) == 0 &&
+	    c->message_done) {
+		close_conn(c);
 		finish(call, HC_WHOLE);
-		return NULL;
+		return;
 	}
-	arm(call, call->progress_ms);
-	return on_body;
+	fail_conn(c, HC_BROKEN);
 }
 
-static h2o_http1client_head_cb on_connect(h2o_http1client_t *client,
-					  const char *errstr,
-					  h2o_iovec_t **bufs, size_t *count,
-					  int *method_is_head)
+static void on_alloc(uv_handle_t *handle, size_t wanted, uv_buf_t *buf)
 {
-	struct hc_call *call = client->data;
+	struct conn *c = handle->data;
 
-	if (errstr || call->ended) {
-		call->client = NULL;
-		finish(call, HC_NOT_SENT);
-		return NULL;
+	(void)wanted;
+	*buf = uv_buf_init(c->pool->hc->read_buffer, READ_BYTES);
+}
+
+static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+	struct conn *c = stream->data;
+
+	if (!n || c->closed)
+		return;
+	if (n == UV_EOF) {
+		take_end(c);
+	} else if (n < 0) {
+		fail_conn(c, HC_BROKEN);
+	} else if (!c->call) {
+		close_conn(c); /* belongs to no request */
+	} else {
+		take_bytes(c, buf->base, (size_t)n);
+		if (c->call && !c->call->ended)
+			arm(c->call, c->head_seen ? c->call->progress_ms
+						  : c->call->first_ms);
 	}
-	call->connected = true;
-	*bufs = &call->buf;
-	*count = 1;
-	*method_is_head = call->head_only;
+}
+
+static void on_written(uv_write_t *write, int status)
+{
+	struct conn *c = write->data;
+
+	c->writing = false;
+	if (status != 0 && !c->closed)
+		fail_conn(c, HC_BROKEN);
+}
+
+static void send_request(struct conn *c)
+{
+	struct hc_call *call = c->call;
+	uv_buf_t buf;
+
+	begin_answer(c);
+	g_free(c->sending);
+	c->sending = g_steal_pointer(&call->bytes);
+	buf = uv_buf_init(c->sending, (unsigned int)call->len);
+	c->write.data = c;
+	c->writing = true;
+	call->sent = true;
 	arm(call, call->first_ms);
-	return on_head;
+	if (uv_write(&c->write, (uv_stream_t *)&c->tcp, &buf, 1, on_written)) {
+		c->writing = false;
+		fail_conn(c, HC_BROKEN);
+	}
+}
+
+static void on_connect(uv_connect_t *req, int status)
+{
+	struct conn *c = req->data;
+
+	if (c->closed)
+		return;
+	if (status != 0 || !c->call || c->call->ended) {
+		fail_conn(c, HC_NOT_SENT);
+		return;
+	}
+	c->connected = true;
+	uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+	send_request(c);
+}
+
+static void open_conn(struct hc_call *call, struct pool *p,
+		      const struct sockaddr_in *sa)
+{
+	struct conn *c = g_new0(struct conn, 1);
+
+	c->pool = p;
+	c->call = call;
+	call->conn = c;
+	htm_fields_init(&c->fields);
+	c->open_handles = 2;
+	c->tcp.data = c;
+	c->timer.data = c;
+	c->connect.data = c;
+	p->open++;
+	p->hc->connects++;
+	uv_tcp_init_ex(p->hc->loop, &c->tcp, AF_INET);
+	uv_timer_init(p->hc->loop, &c->timer);
+	sck_prepare(&c->tcp, USER_TIMEOUT_MS);
+	if (uv_tcp_connect(&c->connect, &c->tcp, (const struct sockaddr *)sa,
+			   on_connect))
+		fail_conn(c, HC_NOT_SENT);
+}
+
+static struct conn *take_idle(struct pool *p, uint32_t max_idle_ms)
+{
+	struct conn *c = g_queue_peek_head(&p->idle);
+	uint64_t now = uv_now(p->hc->loop);
+
+	if (!c || (max_idle_ms && now - c->idle_since > max_idle_ms))
+		return NULL;
+	g_queue_pop_head(&p->idle);
+	uv_timer_stop(&c->timer);
+	return c;
 }
 
 static void build_request(struct hc_call *call, const struct hc_request *req)
 {
-	GString *s = g_string_new(NULL);
+	GString *s = g_string_sized_new(512 + req->len);
 
-	g_string_append_printf(s, "%s %s HTTP/1.1\r\nhost: %s\r\n", req->method,
-			       req->path, req->address);
-	g_string_append_printf(s, "content-length: %zu\r\n", req->len);
+	g_string_append_printf(s, "%s %s HTTP/1.1\r\n", req->method, req->path);
+	if (!req->own_host)
+		g_string_append_printf(s, "host: %s\r\n", req->address);
+	if (!req->no_length)
+		g_string_append_printf(s, "content-length: %zu\r\n", req->len);
 	if (req->fresh)
 		g_string_append(s, "connection: close\r\n");
 	if (req->headers)
@@ -267,27 +594,25 @@
 	g_string_append(s, "\r\n");
 	if (req->len)
 		g_string_append_len(s, req->body, (gssize)req->len);
-	call->buf.len = s->len;
+	call->len = s->len;
 	call->bytes = g_string_free(s, FALSE);
-	call->buf.base = call->bytes;
 }
 
 static void connect_call(struct hc_call *call, const struct hc_request *req,
-			 struct sockaddr_in *sa)
+			 const struct sockaddr_in *sa)
 {
-	char host[INET_ADDRSTRLEN];
-	struct hc *hc = call->hc;
+	struct pool *p =
+		pool_of(call->hc, req->pool ? req->pool : req->address);
+	struct conn *c = req->fresh ? NULL : take_idle(p, req->max_idle_ms);
 
-	if (!req->fresh) {
-		h2o_http1client_connect_with_pool(&call->client, call, &hc->ctx,
-						  pool_of(hc, req->address, sa),
-						  on_connect);
+	if (!c) {
+		open_conn(call, p, sa);
 		return;
 	}
-	inet_ntop(AF_INET, &sa->sin_addr, host, sizeof(host));
-	h2o_http1client_connect(&call->client, call, &hc->ctx,
-				h2o_iovec_init(host, strlen(host)),
-				ntohs(sa->sin_port), 0, on_connect);
+	c->call = call;
+	call->conn = c;
+	call->reused = true;
+	send_request(c);
 }
 
 /*
@@ -307,7 +632,8 @@
 	call->progress_ms = request->progress_ms;
 	call->first_ms =
 		request->first_ms ? request->first_ms : request->progress_ms;
-	call->pooled = request->fresh ? NULL : g_strdup(request->address);
+	call->id_name = g_strdup(request->id_name);
+	call->id_value = g_strdup(request->id_value);
 	if (request->total_ms)
 		call->total_at = uv_now(hc->loop) + request->total_ms;
 	call->head_only = !strcmp(request->method, "HEAD");
@@ -328,9 +654,7 @@
 {
 	if (call->ended)
 		return;
-	if (call->client && !call->in_callback) {
-		h2o_http1client_cancel(call->client);
-		call->client = NULL;
-	}
+	if (call->conn)
+		close_conn(call->conn);
 	finish(call, HC_CANCELLED);
 }
--- a/http/client.h
+++ b/http/client.h
@@ -7,6 +7,8 @@
 #include <stdint.h>
 #include <uv.h>
 
+#include "http/message.h"
+
 /* HTTP/1.1 client on libuv with kept connections per address. */
 struct hc;
 struct hc_call;
@@ -20,17 +22,21 @@
 	HC_CANCELLED,
 };
 
-/* What the answer's head said. */
+/* What the answer's head said; valid during the call-back. */
 struct hc_head {
 	int status;
-	char *request_id; /* x-request-id, or NULL */
-	char *etag;
-	char *type;
+	const char *request_id; /* x-request-id, or NULL */
+	const char *etag;
+	const char *type;
 	int64_t retry_after_s; /* -1 if absent */
+	const struct htm_fields *fields;
+	bool framed; /* false: the answer ends with its connection */
+	bool reused; /* came over a kept connection */
 };
 
 struct hc_request {
 	const char *address; /* "ip:port" */
+	const char *pool; /* what kept connections go by; NULL: the address */
 	const char *method;
 	const char *path;
 	const char *headers; /* whole lines, each ended by CRLF, or NULL */
@@ -40,7 +46,16 @@
 	uint32_t first_ms; /* limit to the answer's head; 0: progress_ms */
 	uint32_t progress_ms; /* limit between two arrivals of bytes */
 	uint32_t total_ms; /* 0: no limit */
+	uint32_t max_idle_ms; /* oldest kept connection to use; 0: any */
 	bool fresh; /* never on a kept connection */
+	bool own_host; /* `headers` has the host field */
+	bool no_length; /* no length field: a request without a body */
+	/*
+	 * An answer whose header id_name is there and is not id_value belongs
+	 * to another request and is dropped. NULL: none is.
+	 */
+	const char *id_name;
+	const char *id_value;
 };
 
 struct hc_events {
@@ -53,6 +68,12 @@
 struct hc_call *hc_start(struct hc *hc, const struct hc_request *request,
 			 const struct hc_events *events, void *user);
 void hc_cancel(struct hc_call *call);
+void hc_set_progress(struct hc_call *call, uint32_t progress_ms);
+bool hc_was_sent(const struct hc_call *call);
+void hc_forget(struct hc *hc, const char *pool);
+uint32_t hc_open(const struct hc *hc, const char *pool);
+uint64_t hc_connects(const struct hc *hc);
+uint64_t hc_crossed(const struct hc *hc);
 uint64_t hc_now(const struct hc *hc);
 
 #endif
--- a/http/server.c
+++ b/http/server.c
@@ -1,151 +1,579 @@
 #include "http/server.h"
 
-#include <arpa/inet.h>
+#include <http_parser.h>
+#include <stdlib.h>
 #include <string.h>
-#include <h2o.h>
 
 #include "http/address.h"
+#include "http/socket.h"
 
 #define LISTEN_BACKLOG 1024
+#define READ_BYTES 65536
+#define HEAD_BYTES 65536
+#define IDLE_MS 60000
+#define USER_TIMEOUT_MS 8000
+#define MAX_PIPELINED_BYTES (256 * 1024)
+#define LINGER_MS 300
+
+struct conn;
 
 struct hs {
 	uv_loop_t *loop;
 	uv_tcp_t listener;
-	h2o_globalconf_t conf;
-	h2o_context_t ctx;
-	h2o_accept_ctx_t accept_ctx;
+	struct hs_limits limits;
 	hs_on_request cb;
 	void *owner;
+	GHashTable *conns; /* set of struct conn */
 	size_t open_requests;
 	bool accepting;
+	bool closing; /* each connection closes after its answer */
+	char read_buffer[READ_BYTES];
 };
 
 /*
- * One request. It lives until h2o disposes of it, and all calls on it after
- * the end of its response, or after the caller has gone, do nothing.
+ * One request. It lives until its response has left or the client has gone;
+ * all calls on it after the end of its response do nothing.
  */
 struct hs_req {
-	h2o_generator_t gen; /* must be first: h2o hands it back */
 	struct hs *hs;
-	h2o_req_t *req;
+	struct conn *conn;
 	char *method;
 	char *path;
-	GString *pending;
-	GString *sending;
+	struct htm_fields fields;
+	GString *body;
+	GString *headers; /* of the response, whole lines */
+	bool is_head;
+	bool http10;
+	bool keep_alive;
 	bool begun;
-	bool in_flight;
+	bool chunked;
 	bool ended;
-	bool aborted;
-	bool finished;
 	hs_on_gone on_gone;
 	void *gone_user;
 };
 
-struct hs_handler {
-	h2o_handler_t super;
-	struct hs *hs;
+enum phase {
+	PHASE_HEAD, /* waits for a request or reads its head */
+	PHASE_BODY,
+	PHASE_ANSWER, /* the owner answers; bytes that come wait */
+	PHASE_LINGER, /* has had its last answer, reads until the peer closes */
+	PHASE_CLOSED,
 };
 
-/* Lies in the request's pool and tells when that is cleared. */
-struct sentinel {
-	struct hs_req *request;
+struct conn {
+	struct hs *hs;
+	uv_tcp_t tcp;
+	uv_timer_t timer;
+	unsigned int open_handles;
+	enum phase phase;
+	http_parser parser;
+	GString *in; /* bytes not yet parsed */
+	size_t scanned;
+	struct hs_req *req;
+	GString *out;
+	GString *sending;
+	uv_write_t write;
+	bool writing;
+	bool reading;
+	bool message_done;
+	bool body_too_large;
+	bool close_when_sent;
+	bool failed;
 };
 
-static void on_dispose(void *sentinel)
-{
-	struct hs_req *r = ((struct sentinel *)sentinel)->request;
+static void parse(struct conn *c);
+static void start_reading(struct conn *c);
 
+static void free_request(struct hs_req *r)
+{
 	r->hs->open_requests--;
-	if (r->on_gone)
-		r->on_gone(r->gone_user);
 	g_free(r->method);
 	g_free(r->path);
-	g_string_free(r->pending, TRUE);
-	g_string_free(r->sending, TRUE);
+	htm_fields_clear(&r->fields);
+	g_string_free(r->body, TRUE);
+	g_string_free(r->headers, TRUE);
 	g_free(r);
 }
 
-static void flush(struct hs_req *r)
+static void on_closed(uv_handle_t *handle)
 {
-	h2o_iovec_t buf;
-	GString *swap;
+	struct conn *c = handle->data;
+
+	if (--c->open_handles)
+		return;
+	g_string_free(c->in, TRUE);
+	g_string_free(c->out, TRUE);
+	g_string_free(c->sending, TRUE);
+	g_free(c);
+}
+
+/* Ends the connection's request, telling its owner, and the connection. */
+static void close_conn(struct conn *c)
+{
+	struct hs_req *r = c->req;
 
-	if (r->in_flight || r->finished)
+	if (c->phase == PHASE_CLOSED)
 		return;
-	if (r->aborted) {
-		r->finished = true;
-		h2o_send(r->req, NULL, 0, H2O_SEND_STATE_ERROR);
+	c->phase = PHASE_CLOSED;
+	c->req = NULL;
+	g_hash_table_remove(c->hs->conns, c);
+	uv_close((uv_handle_t *)&c->timer, on_closed);
+	uv_close((uv_handle_t *)&c->tcp, on_closed);
+	if (!r)
 		return;
+	if (r->on_gone)
+		r->on_gone(r->gone_user);
+	free_request(r);
+}
+
+static void on_limit(uv_timer_t *timer);
+
+static void arm(struct conn *c, uint64_t ms)
+{
+	uv_timer_start(&c->timer, on_limit, ms, 0);
+}
+
+static void flush(struct conn *c);
+
+static void on_shutdown(uv_shutdown_t *req, int status)
+{
+	(void)status;
+	g_free(req);
+}
+
+/*
+ * Sends the end of the stream and reads on for a moment: closing at once with
+ * bytes unread would reset the connection and lose the answer.
+ */
+static void linger(struct conn *c)
+{
+	uv_shutdown_t *req = g_new0(uv_shutdown_t, 1);
+
+	c->phase = PHASE_LINGER;
+	g_string_truncate(c->in, 0);
+	if (uv_shutdown(req, (uv_stream_t *)&c->tcp, on_shutdown) != 0)
+		g_free(req);
+	start_reading(c);
+	arm(c, LINGER_MS);
+}
+
+/* All of a response has left: the next request, or the end. */
+static void response_sent(struct conn *c)
+{
+	struct hs_req *r = c->req;
+
+	c->req = NULL;
+	if (r) {
+		if (r->on_gone)
+			r->on_gone(r->gone_user);
+		free_request(r);
 	}
-	if (!r->pending->len && !r->ended)
+	if (c->close_when_sent) {
+		linger(c);
 		return;
-	swap = r->sending;
-	r->sending = r->pending;
-	r->pending = swap;
-	g_string_truncate(r->pending, 0);
-	r->in_flight = true;
-	r->finished = r->ended;
-	buf = h2o_iovec_init(r->sending->str, r->sending->len);
-	h2o_send(r->req, &buf, buf.len ? 1 : 0,
-		 r->finished ? H2O_SEND_STATE_FINAL
-			     : H2O_SEND_STATE_IN_PROGRESS);
+	}
+	c->phase = PHASE_HEAD;
+	c->scanned = 0;
+	arm(c, c->hs->limits.idle_ms);
+	start_reading(c);
+	parse(c);
+}
+
+static bool is_finished(const struct conn *c)
+{
+	return c->phase == PHASE_ANSWER &&
+	       (!c->req || (c->req->ended && c->req->begun));
 }
 
-static void on_proceed(h2o_generator_t *gen, h2o_req_t *req)
+static void on_written(uv_write_t *write, int status)
 {
-	struct hs_req *r = (struct hs_req *)gen;
+	struct conn *c = write->data;
 
-	(void)req;
-	r->in_flight = false;
-	flush(r);
+	c->writing = false;
+	if (c->phase == PHASE_CLOSED)
+		return;
+	if (status != 0)
+		close_conn(c);
+	else if (!c->out->len && is_finished(c))
+		response_sent(c);
+	else
+		flush(c);
 }
 
-static void on_stop(h2o_generator_t *gen, h2o_req_t *req)
+static void on_deferred(uv_timer_t *timer)
 {
-	struct hs_req *r = (struct hs_req *)gen;
+	struct conn *c = timer->data;
+
+	if (c->failed)
+		close_conn(c);
+	else if (!c->writing && !c->out->len && is_finished(c))
+		response_sent(c);
+}
 
-	(void)req;
-	r->finished = true;
+/*
+ * Ends a response from the loop, never from within the call by which the
+ * owner ended it.
+ */
+static void defer_end(struct conn *c)
+{
+	uv_timer_start(&c->timer, on_deferred, 0, 0);
 }
 
-static int on_req(h2o_handler_t *handler, h2o_req_t *req)
+static void flush(struct conn *c)
 {
-	struct hs *hs = ((struct hs_handler *)handler)->hs;
-	struct sentinel *sentinel;
-	struct hs_req *r = g_new0(struct hs_req, 1);
+	GString *swap;
+	uv_buf_t buf;
 
-	r->gen.proceed = on_proceed;
-	r->gen.stop = on_stop;
-	r->hs = hs;
-	r->req = req;
-	r->method = g_strndup(req->method.base, req->method.len);
-	r->path = g_strndup(req->path.base, req->path.len);
-	r->pending = g_string_new(NULL);
-	r->sending = g_string_new(NULL);
-	sentinel =
-		h2o_mem_alloc_shared(&req->pool, sizeof(*sentinel), on_dispose);
-	sentinel->request = r;
-	hs->open_requests++;
-	hs->cb(hs->owner, r);
+	if (c->writing || c->failed || c->phase == PHASE_CLOSED)
+		return;
+	if (!c->out->len) {
+		if (is_finished(c))
+			defer_end(c);
+		return;
+	}
+	swap = c->sending;
+	c->sending = c->out;
+	c->out = swap;
+	g_string_truncate(c->out, 0);
+	buf = uv_buf_init(c->sending->str, (unsigned int)c->sending->len);
+	c->write.data = c;
+	c->writing = true;
+	if (uv_write(&c->write, (uv_stream_t *)&c->tcp, &buf, 1, on_written)) {
+		c->writing = false;
+		c->failed = true;
+		defer_end(c);
+	}
+}
+
+static const char *reason_of(int status)
+{
+	switch (status) {
+#define XX(num, name, string)                                                  \
+	case num:                                                              \
+		return #string;
+		HTTP_STATUS_MAP(XX)
+#undef XX
+	default:
+		return "-";
+	}
+}
+
+/* Answers a request that cannot be read, and closes. */
+static void reject(struct conn *c, int status, const char *reason)
+{
+	g_autofree char *body = g_strdup_printf(
+		"{\"error\":{\"verdict\":\"not-run\",\"reason\":\"%s\"}}",
+		reason);
+
+	g_string_append_printf(
+		c->out,
+		"HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
+		"Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
+		status, reason_of(status), strlen(body), body);
+	if (c->req)
+		free_request(c->req);
+	c->req = NULL;
+	c->phase = PHASE_ANSWER;
+	c->close_when_sent = true;
+	g_string_truncate(c->in, 0);
+	uv_timer_stop(&c->timer);
+	flush(c);
+}
+
+static void on_limit(uv_timer_t *timer)
+{
+	struct conn *c = timer->data;
+
+	if (c->phase == PHASE_BODY || (c->phase == PHASE_HEAD && c->in->len))
+		reject(c, 408, "slow-request");
+	else if (c->phase != PHASE_ANSWER)
+		close_conn(c);
+}
+
+static int on_url(http_parser *p, const char *at, size_t len)
+{
+	struct conn *c = p->data;
+	g_autofree char *before = c->req->path;
+
+	c->req->path = before ? g_strdup_printf("%s%.*s", before, (int)len, at)
+			      : g_strndup(at, len);
 	return 0;
 }
 
+static int on_name(http_parser *p, const char *at, size_t len)
+{
+	htm_fields_add_name(&((struct conn *)p->data)->req->fields, at, len);
+	return 0;
+}
+
+static int on_value(http_parser *p, const char *at, size_t len)
+{
+	htm_fields_add_value(&((struct conn *)p->data)->req->fields, at, len);
+	return 0;
+}
+
+static int on_headers(http_parser *p)
+{
+	struct conn *c = p->data;
+	struct hs_req *r = c->req;
+
+	htm_fields_done(&r->fields);
+	r->method = g_strdup(http_method_str((enum http_method)p->method));
+	r->is_head = p->method == HTTP_HEAD;
+	r->http10 = p->http_major == 1 && p->http_minor == 0;
+	r->keep_alive = http_should_keep_alive(p);
+	return 0;
+}
+
+static int on_body_bytes(http_parser *p, const char *at, size_t len)
+{
+	struct conn *c = p->data;
+
+	if (c->req->body->len + len > c->hs->limits.body_bytes) {
+		c->body_too_large = true;
+		return -1;
+	}
+	g_string_append_len(c->req->body, at, (gssize)len);
+	return 0;
+}
+
+static int on_message(http_parser *p)
+{
+	((struct conn *)p->data)->message_done = true;
+	http_parser_pause(p, 1);
+	return 0;
+}
+
+/* Trailers are dropped: they come after the head was judged. */
+static int on_trailer(http_parser *p, const char *at, size_t len)
+{
+	(void)p;
+	(void)at;
+	(void)len;
+	return 0;
+}
+
+static const http_parser_settings head_settings = {
+	.on_url = on_url,
+	.on_header_field = on_name,
+	.on_header_value = on_value,
+	.on_headers_complete = on_headers,
+	.on_message_complete = on_message,
+};
+
+static const http_parser_settings body_settings = {
+	.on_header_field = on_trailer,
+	.on_header_value = on_trailer,
+	.on_body = on_body_bytes,
+	.on_message_complete = on_message,
+};
+
+static struct hs_req *new_request(struct conn *c)
+{
+	struct hs_req *r = g_new0(struct hs_req, 1);
+
+	r->hs = c->hs;
+	r->conn = c;
+	htm_fields_init(&r->fields);
+	r->body = g_string_new(NULL);
+	r->headers = g_string_new(NULL);
+	c->hs->open_requests++;
+	return r;
+}
+
+static bool head_is_sound(const struct conn *c)
+{
+	const struct hs_req *r = c->req;
+
+	if (!r->path || !r->method || c->parser.upgrade)
+		return false;
+	if (r->path[0] != '/' && strcmp(r->path, "*") != 0)
+		return false;
+	if (!htm_names_are_tokens(&r->fields))
+		return false;
+	if (htm_count_of(&r->fields, "host") > 1 ||
+	    (!r->http10 && !htm_find(&r->fields, "host")))
+		return false;
+	if (htm_count_of(&r->fields, "content-length") > 1 ||
+	    htm_count_of(&r->fields, "transfer-encoding") > 1)
+		return false;
+	return !(htm_find(&r->fields, "content-length") &&
+		 htm_find(&r->fields, "transfer-encoding"));
+}
+
+static bool declares_too_much(const struct conn *c)
+{
+	const char *length = htm_find(&c->req->fields, "content-length");
+
+	return length &&
+	       g_ascii_strtoull(length, NULL, 10) > c->hs->limits.body_bytes;
+}
+
+static void give_to_owner(struct conn *c)
+{
+	c->phase = PHASE_ANSWER;
+	uv_timer_stop(&c->timer);
+	c->hs->cb(c->hs->owner, c->req);
+}
+
+/* Parses the head, which is whole and `len` bytes long. False: rejected. */
+static bool take_head(struct conn *c, size_t len)
+{
+	size_t used;
+	const char *expect;
+
+	c->req = new_request(c);
+	c->message_done = false;
+	c->body_too_large = false;
+	http_parser_init(&c->parser, HTTP_REQUEST);
+	c->parser.data = c;
+	used = http_parser_execute(&c->parser, &head_settings, c->in->str, len);
+	if (HTTP_PARSER_ERRNO(&c->parser) == HPE_PAUSED)
+		http_parser_pause(&c->parser, 0);
+	if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK || used + 1 < len ||
+	    !head_is_sound(c)) {
+		reject(c, 400, "malformed-request");
+		return false;
+	}
+	if (declares_too_much(c)) {
+		reject(c, 413, "body-too-large");
+		return false;
+	}
+	g_string_erase(c->in, 0, (gssize)len);
+	expect = htm_find(&c->req->fields, "expect");
+	if (!c->message_done && expect &&
+	    !g_ascii_strcasecmp(expect, "100-continue")) {
+		g_string_append(c->out, "HTTP/1.1 100 Continue\r\n\r\n");
+		flush(c);
+	}
+	c->phase = PHASE_BODY;
+	return true;
+}
+
+static bool read_head(struct conn *c)
+{
+	size_t len = 0;
+	size_t skip = 0;
+
+	if (!c->scanned)
+		while (c->in->len >= skip + 2 &&
+		       !memcmp(c->in->str + skip, "\r\n", 2))
+			skip += 2;
+	g_string_erase(c->in, 0, (gssize)skip);
+	if (!c->in->len || (c->in->len == 1 && c->in->str[0] == '\r'))
+		return false;
+	if (!c->scanned)
+		arm(c, c->hs->limits.head_ms);
+	switch (htm_scan_head(c->in->str, c->in->len, c->scanned, &len)) {
+	case HTM_BAD:
+		reject(c, 400, "malformed-request");
+		return false;
+	case HTM_MORE:
+		c->scanned = c->in->len;
+		if (c->in->len > c->hs->limits.head_bytes)
+			reject(c, 431, "head-too-large");
+		return false;
+	case HTM_HEAD:
+		if (len > c->hs->limits.head_bytes) {
+			reject(c, 431, "head-too-large");
+			return false;
+		}
+		return take_head(c, len);
+	}
+	return false;
+}
+
+static void read_body(struct conn *c)
+{
+	size_t used = 0;
+
+	if (!c->message_done && c->in->len) {
+		used = http_parser_execute(&c->parser, &body_settings,
+					   c->in->str, c->in->len);
+		if (HTTP_PARSER_ERRNO(&c->parser) == HPE_PAUSED) {
+			http_parser_pause(&c->parser, 0);
+		} else if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK) {
+			if (c->body_too_large)
+				reject(c, 413, "body-too-large");
+			else
+				reject(c, 400, "malformed-body");
+			return;
+		}
+		g_string_erase(c->in, 0, (gssize)used);
+	}
+	if (c->message_done)
+		give_to_owner(c);
+}
+
+static void parse(struct conn *c)
+{
+	if (c->phase == PHASE_HEAD && !read_head(c))
+		return;
+	if (c->phase == PHASE_BODY)
+		read_body(c);
+}
+
+static void on_alloc(uv_handle_t *handle, size_t wanted, uv_buf_t *buf)
+{
+	struct conn *c = handle->data;
+
+	(void)wanted;
+	*buf = uv_buf_init(c->hs->read_buffer, READ_BYTES);
+}
+
+static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+	struct conn *c = stream->data;
+
+	if (!n)
+		return;
+	if (n < 0) {
+		close_conn(c);
+		return;
+	}
+	if (c->phase == PHASE_LINGER || c->close_when_sent)
+		return;
+	g_string_append_len(c->in, buf->base, n);
+	if (c->phase != PHASE_ANSWER) {
+		parse(c);
+	} else if (c->in->len > MAX_PIPELINED_BYTES) {
+		uv_read_stop(stream);
+		c->reading = false;
+	}
+}
+
+static void start_reading(struct conn *c)
+{
+	if (!c->reading)
+		c->reading = uv_read_start((uv_stream_t *)&c->tcp, on_alloc,
+					   on_read) == 0;
+}
+
 static void on_accept(uv_stream_t *listener, int status)
 {
 	struct hs *hs = listener->data;
-	uv_tcp_t *conn;
+	struct conn *c;
 
 	if (status != 0)
 		return;
-	conn = h2o_mem_alloc(sizeof(*conn));
-	uv_tcp_init(listener->loop, conn);
-	if (uv_accept(listener, (uv_stream_t *)conn) != 0) {
-		uv_close((uv_handle_t *)conn, (uv_close_cb)free);
+	c = g_new0(struct conn, 1);
+	c->hs = hs;
+	c->in = g_string_new(NULL);
+	c->out = g_string_new(NULL);
+	c->sending = g_string_new(NULL);
+	c->open_handles = 2;
+	uv_tcp_init(hs->loop, &c->tcp);
+	uv_timer_init(hs->loop, &c->timer);
+	c->tcp.data = c;
+	c->timer.data = c;
+	g_hash_table_add(hs->conns, c);
+	if (uv_accept(listener, (uv_stream_t *)&c->tcp) != 0) {
+		close_conn(c);
 		return;
 	}
-	uv_tcp_nodelay(conn, 1);
-	h2o_accept(&hs->accept_ctx, h2o_uv_socket_create((uv_stream_t *)conn,
-							 (uv_close_cb)free));
+	sck_prepare(&c->tcp, USER_TIMEOUT_MS);
+	arm(c, hs->limits.idle_ms);
+	start_reading(c);
 }
 
 static bool bind_listener(struct hs *hs, const char *address, GError **err)
@@ -173,7 +601,7 @@
 
 /*
  * Listens on "ip:port" and calls cb for each request, whole with its body of
- * at most max_body bytes. head_timeout_ms bounds the time a caller may take
+ * at most max_body bytes. head_timeout_ms bounds the time a client may take
  * to send a request. Returns NULL and sets an error if the address cannot be
  * bound.
  */
@@ -182,34 +610,51 @@
 		     GError **err)
 {
 	struct hs *hs = g_new0(struct hs, 1);
-	struct hs_handler *handler;
-	h2o_hostconf_t *host;
-	h2o_pathconf_t *path;
 
 	hs->loop = loop;
 	hs->cb = cb;
 	hs->owner = owner;
+	hs->limits.head_bytes = HEAD_BYTES;
+	hs->limits.body_bytes = max_body;
+	hs->limits.head_ms = head_timeout_ms;
+	hs->limits.idle_ms = IDLE_MS;
+	hs->conns = g_hash_table_new(NULL, NULL);
 	if (!bind_listener(hs, address, err)) {
+		g_hash_table_unref(hs->conns);
 		g_free(hs);
 		return NULL;
 	}
-	h2o_config_init(&hs->conf);
-	hs->conf.server_name = h2o_iovec_init(H2O_STRLIT("chivegw"));
-	hs->conf.max_request_entity_size = max_body;
-	hs->conf.http1.req_timeout = head_timeout_ms;
-	host = h2o_config_register_host(
-		&hs->conf, h2o_iovec_init(H2O_STRLIT("default")), 65535);
-	path = h2o_config_register_path(host, "/", 0);
-	handler =
-		(struct hs_handler *)h2o_create_handler(path, sizeof(*handler));
-	handler->super.on_req = on_req;
-	handler->hs = hs;
-	h2o_context_init(&hs->ctx, loop, &hs->conf);
-	hs->accept_ctx.ctx = &hs->ctx;
-	hs->accept_ctx.hosts = hs->conf.hosts;
 	return hs;
 }
 
+/*
+ * Puts other limits in force. Connections that wait for a request follow the
+ * new idle time from now on.
+ */
+void hs_set_limits(struct hs *hs, const struct hs_limits *limits)
+{
+	bool idle_changed = hs->limits.idle_ms != limits->idle_ms;
+	GHashTableIter it;
+	void *key;
+
+	hs->limits = *limits;
+	if (!idle_changed)
+		return;
+	g_hash_table_iter_init(&it, hs->conns);
+	while (g_hash_table_iter_next(&it, &key, NULL)) {
+		struct conn *c = key;
+
+		if (c->phase == PHASE_HEAD && !c->in->len)
+			arm(c, limits->idle_ms);
+	}
+}
+
+/* From now on each connection closes after its next answer. */
+void hs_close_after_answers(struct hs *hs)
+{
+	hs->closing = true;
+}
+
 /* Closes the listening socket; open connections go on. */
 void hs_stop_accepting(struct hs *hs)
 {
@@ -220,13 +665,21 @@
 }
 
 /*
- * Stops accepting and tells each connection to close after the requests it
- * carries (GOAWAY on h2c, "connection: close" on HTTP/1.1).
+ * Stops accepting and closes each connection after the request it carries;
+ * connections without one close now.
  */
 void hs_shutdown(struct hs *hs)
 {
+	g_autoptr(GList) conns = g_hash_table_get_keys(hs->conns);
+
 	hs_stop_accepting(hs);
-	h2o_context_request_shutdown(&hs->ctx);
+	hs->closing = true;
+	for (GList *l = conns; l; l = l->next) {
+		struct conn *c = l->data;
+
+		if (c->phase == PHASE_HEAD && !c->in->len)
+			close_conn(c);
+	}
 }
 
 /* Returns the number of requests that have no whole response yet. */
@@ -250,30 +703,23 @@
 /* Returns the request's body and its length; valid as long as the request. */
 const char *hs_body(const struct hs_req *req, size_t *len)
 {
-	*len = req->req->entity.len;
-	return req->req->entity.base ? req->req->entity.base : "";
+	*len = req->body->len;
+	return req->body->str;
 }
 
 /*
- * Returns a request header's value, or NULL if absent. The copy lives as long
- * as the request. The name is in lower case.
+ * Returns a request header's value, or NULL if absent; valid as long as the
+ * request.
  */
 const char *hs_header(struct hs_req *req, const char *name)
 {
-	ssize_t at = h2o_find_header_by_str(&req->req->headers, name,
-					    strlen(name), -1);
-	h2o_iovec_t value;
-
-	if (at < 0) {
-		const h2o_token_t *token = h2o_lookup_token(name, strlen(name));
+	return htm_find(&req->fields, name);
+}
 
-		if (token)
-			at = h2o_find_header(&req->req->headers, token, -1);
-	}
-	if (at < 0)
-		return NULL;
-	value = req->req->headers.entries[at].value;
-	return h2o_strdup(&req->req->pool, value.base, value.len).base;
+/* Returns all header fields of the request. */
+const struct htm_fields *hs_fields(const struct hs_req *req)
+{
+	return &req->fields;
 }
 
 /* Asks for cb when the request's memory ends, whoever ended it. */
@@ -283,25 +729,46 @@
 	req->gone_user = user;
 }
 
-/* Adds a header to the response; before hs_begin. The name in lower case. */
+/* Adds a header to the response; before hs_begin. */
 void hs_add_header(struct hs_req *req, const char *name, const char *value)
 {
-	h2o_req_t *r = req->req;
-	h2o_iovec_t n = h2o_strdup(&r->pool, name, strlen(name));
-	h2o_iovec_t v = h2o_strdup(&r->pool, value, strlen(value));
+	if (!req->begun)
+		g_string_append_printf(req->headers, "%s: %s\r\n", name, value);
+}
 
-	if (req->begun)
-		return;
-	h2o_add_header_by_str(&r->pool, &r->res.headers, n.base, n.len, 1, NULL,
-			      v.base, v.len);
+static bool has_no_body(const struct hs_req *r, int status)
+{
+	return r->is_head || status == 204 || status == 304;
 }
 
-static void start(struct hs_req *req, int status)
+/* Writes the response's head; length -1: not known beforehand. */
+static void start(struct hs_req *r, int status, gint64 length)
 {
-	req->req->res.status = status;
-	req->req->res.reason = "-";
-	req->begun = true;
-	h2o_start_response(req->req, &req->gen);
+	struct conn *c = r->conn;
+	GString *out = c->out;
+
+	r->begun = true;
+	g_string_append_printf(out, "HTTP/1.1 %d %s\r\n", status,
+			       reason_of(status));
+	g_string_append_len(out, r->headers->str, (gssize)r->headers->len);
+	if (length >= 0) {
+		if (status != 204)
+			g_string_append_printf(
+				out, "Content-Length: %" G_GINT64_FORMAT "\r\n",
+				length);
+	} else if (r->http10) {
+		r->keep_alive = false;
+	} else if (!has_no_body(r, status)) {
+		r->chunked = true;
+		g_string_append(out, "Transfer-Encoding: chunked\r\n");
+	}
+	if (c->hs->closing || !r->keep_alive)
+		c->close_when_sent = true;
+	if (c->close_when_sent)
+		g_string_append(out, "Connection: close\r\n");
+	else if (r->http10)
+		g_string_append(out, "Connection: keep-alive\r\n");
+	g_string_append(out, "\r\n");
 }
 
 /* Starts a streamed response with the headers added so far. */
@@ -309,7 +776,8 @@
 {
 	if (req->begun)
 		return;
-	start(req, status);
+	start(req, status, -1);
+	flush(req->conn);
 }
 
 /* Tells whether the response's head has been given. */
@@ -318,42 +786,61 @@
 	return req->begun;
 }
 
-/* Appends to a begun response; it leaves as soon as the caller takes it. */
+/* Appends to a begun response; it leaves as soon as the client takes it. */
 void hs_write(struct hs_req *req, const void *data, size_t len)
 {
-	if (req->ended || req->finished || !req->begun)
+	struct conn *c = req->conn;
+
+	if (req->ended || !req->begun || !len)
 		return;
-	g_string_append_len(req->pending, data, (gssize)len);
-	flush(req);
+	if (!req->is_head) {
+		if (req->chunked)
+			g_string_append_printf(c->out, "%zx\r\n", len);
+		g_string_append_len(c->out, data, (gssize)len);
+		if (req->chunked)
+			g_string_append(c->out, "\r\n");
+	}
+	flush(c);
 }
 
 /* Ends a begun response, whole. */
 void hs_end(struct hs_req *req)
 {
-	if (req->ended || req->finished || !req->begun)
+	if (req->ended || !req->begun)
 		return;
 	req->ended = true;
-	flush(req);
+	if (req->chunked)
+		g_string_append(req->conn->out, "0\r\n\r\n");
+	flush(req->conn);
 }
 
 /*
- * Breaks off a begun response, so that the caller can tell that it is not
- * whole: the connection or stream ends without the response's end.
+ * Breaks off a begun response, so that the client can tell that it is not
+ * whole: the connection ends without the response's end.
  */
 void hs_abort(struct hs_req *req)
 {
-	if (req->finished || !req->begun)
+	if (req->ended || !req->begun)
 		return;
 	req->ended = true;
-	req->aborted = true;
-	req->req->http1_is_persistent = 0;
-	flush(req);
+	req->conn->close_when_sent = true;
+	if (!req->chunked)
+		g_string_truncate(req->conn->out, 0);
+	flush(req->conn);
 }
 
-/* Returns how many bytes wait for the caller to take them. */
+/* Closes the connection after this request's response. */
+void hs_close_after(struct hs_req *req)
+{
+	req->keep_alive = false;
+}
+
+/* Returns how many bytes wait for the client to take them. */
 size_t hs_unsent(const struct hs_req *req)
 {
-	return req->pending->len + (req->in_flight ? req->sending->len : 0);
+	const struct conn *c = req->conn;
+
+	return c->out->len + (c->writing ? c->sending->len : 0);
 }
 
 /* Sends a whole response of the given content type. */
@@ -363,11 +850,12 @@
 	if (req->begun)
 		return;
 	if (type)
-		hs_add_header(req, "content-type", type);
-	req->req->res.content_length = len;
-	start(req, status);
-	hs_write(req, body, len);
-	hs_end(req);
+		hs_add_header(req, "Content-Type", type);
+	start(req, status, (gint64)len);
+	req->ended = true;
+	if (!has_no_body(req, status))
+		g_string_append_len(req->conn->out, body, (gssize)len);
+	flush(req->conn);
 }
 
 /* Sends a whole JSON response. */
--- /dev/null
+++ b/http/socket.c
@@ -0,0 +1,32 @@
+#include "http/socket.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#define KEEPALIVE_IDLE_S 1
+#define KEEPALIVE_INTERVAL_S 1
+#define KEEPALIVE_PROBES 3
+
+/*
+ * Sets what all connections have: no delay of small writes, an end to bytes
+ * that nobody acknowledges, and probes that find a silent peer.
+ */
+void sck_prepare(uv_tcp_t *tcp, unsigned int user_timeout_ms)
+{
+	const int idle = KEEPALIVE_IDLE_S;
+	const int interval = KEEPALIVE_INTERVAL_S;
+	const int probes = KEEPALIVE_PROBES;
+	const int on = 1;
+	uv_os_fd_t fd;
+
+	if (uv_fileno((uv_handle_t *)tcp, &fd) != 0)
+		return;
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms,
+		   sizeof(user_timeout_ms));
+}
