--- a/daemon/chivegwd.c
+++ b/daemon/chivegwd.c
@@ -9,6 +9,7 @@
 #include "backend/placement-task.h"
 #include "backend/table-task.h"
 #include "config/watch-task.h"
+#include "daemon/gateway.h"
 #include "daemon/node.h"
 #include "daemon/version.h"
 #include "door/callers-task.h"
@@ -189,7 +190,8 @@
 		return EXIT_SUCCESS;
 	}
 	lge_setup(settings->node);
-	return run(settings);
+	return settings->ready_address ? gwy_run(settings, path)
+				       : run(settings);
 }
 
 int main(int argc, char **argv)
--- /dev/null
+++ b/daemon/gateway.c
@@ -0,0 +1,397 @@
+#include "daemon/gateway.h"
+
+#include <errno.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+#include <sys/stat.h>
+
+#include "daemon/version.h"
+#include "exchange/exchange-task.h"
+#include "log-event.h"
+#include "platform/feed-task.h"
+#include "platform/names.h"
+
+#define TICK_MS 100
+#define SETTINGS_CHECK_TICKS 10
+#define SWEEP_TICKS 10
+#define UNSURE_AFTER_MS 1500
+#define WATCH_WAIT_MS 15000
+#define GRACE_SLACK_MS 400
+#define LEAST_DRAIN_MS 2600
+#define FIRST_BODY_BYTES (4 * 1024 * 1024)
+#define FIRST_HEAD_MS 5000
+
+static struct gwy gateway;
+static uv_signal_t on_term, on_int, on_hup;
+static uint32_t ticks;
+static struct stat settings_stat;
+static bool was_ready;
+
+/* Returns the loop's time in ms, read anew. */
+uint64_t gwy_now(struct gwy *g)
+{
+	uv_update_time(g->loop);
+	return uv_now(g->loop);
+}
+
+/* Tells whether the balancer may send new connections here. */
+bool gwy_is_ready(const struct gwy *g)
+{
+	return g->routes && g->listed[FED_SERVERS] && !g->draining;
+}
+
+/*
+ * Tells whether no newer configuration than the one in force is likely: the
+ * source answers, or was lost a moment ago only.
+ */
+bool gwy_config_is_sure(const struct gwy *g, uint64_t now)
+{
+	uint64_t lost = g->lost_at[FED_CONFIG];
+
+	return g->routes && (!lost || now - lost < UNSURE_AFTER_MS);
+}
+
+static void note_ready(struct gwy *g)
+{
+	bool ready = gwy_is_ready(g);
+
+	if (ready == was_ready)
+		return;
+	was_ready = ready;
+	lge(LGE_READY, "ready=%d config=%" G_GUINT64_FORMAT " draining=%d",
+	    ready, g->routes ? g->routes->revision : 0, g->draining);
+}
+
+static void apply_limits(struct gwy *g)
+{
+	const struct rts_limits *l = &g->routes->limits;
+	const struct hs_limits limits = {
+		.head_bytes = l->head_bytes,
+		.body_bytes = l->body_bytes,
+		.head_ms = l->head_ms,
+		.idle_ms = l->idle_ms,
+	};
+
+	hs_set_limits(g->door, &limits);
+}
+
+static void on_config(void *user, struct json_object *doc, uint64_t revision)
+{
+	struct gwy *g = user;
+	GError *err = NULL;
+	struct rts *routes;
+
+	if (g->routes && revision <= g->routes->revision)
+		return;
+	routes = rts_build(doc, revision, &err);
+	if (!routes) {
+		lge(LGE_CONFIG_BAD,
+		    "revision=%" G_GUINT64_FORMAT " error=\"%s\"", revision,
+		    err->message);
+		g_error_free(err);
+		return;
+	}
+	rts_unref(g->routes);
+	g->routes = routes;
+	apply_limits(g);
+	ctr_add(&g->ctr, CTR_CONFIG_APPLIED, 1);
+	lge(LGE_CONFIG_IN_FORCE,
+	    "revision=%" G_GUINT64_FORMAT
+	    " routes=%zu services=%zu organisations=%zu",
+	    revision, routes->n_routes, routes->n_services, routes->n_orgs);
+	note_ready(g);
+}
+
+static void on_server(void *user, const struct svt_entry *entry)
+{
+	struct gwy *g = user;
+	const struct svt_server *old = svt_find(&g->servers, entry->id);
+	enum svt_state before = old ? old->state : SVT_GONE;
+	const struct svt_server *s = svt_put(&g->servers, gwy_now(g), entry);
+
+	if (s->state != before)
+		lge(LGE_SERVER_CHANGED,
+		    "server=%s service=%s address=%s zone=%s version=%s "
+		    "from=%s to=%s revision=%" G_GUINT64_FORMAT,
+		    s->id, s->service, s->address, s->zone, s->version,
+		    svt_state_name(before), svt_state_name(s->state),
+		    s->revision);
+}
+
+static void on_server_gone(void *user, const char *id, uint64_t revision)
+{
+	struct gwy *g = user;
+
+	if (svt_remove(&g->servers, id))
+		lge(LGE_SERVER_CHANGED,
+		    "server=%s to=gone revision=%" G_GUINT64_FORMAT, id,
+		    revision);
+}
+
+static void on_list(void *user, enum fed_topic topic, bool ended)
+{
+	struct gwy *g = user;
+
+	if (topic != FED_SERVERS)
+		return;
+	if (!ended) {
+		svt_begin_list(&g->servers);
+		return;
+	}
+	lge(LGE_SERVERS_LISTED, "servers=%u gone=%u", g->servers.all->len,
+	    svt_end_list(&g->servers));
+}
+
+static void on_rollout(void *user, const struct fed_rollout *order)
+{
+	(void)user;
+	(void)order;
+}
+
+static void on_rollout_gone(void *user, const char *service)
+{
+	(void)user;
+	(void)service;
+}
+
+static void on_current(void *user, enum fed_topic topic, uint64_t revision)
+{
+	struct gwy *g = user;
+
+	g->as_of[topic] = revision;
+	g->lost_at[topic] = 0;
+	g->listed[topic] = true;
+	note_ready(g);
+}
+
+static void on_lost(void *user, enum fed_topic topic, const char *reason)
+{
+	struct gwy *g = user;
+
+	(void)reason;
+	if (!g->lost_at[topic])
+		g->lost_at[topic] = gwy_now(g);
+}
+
+static const struct fed_events feed_events = {
+	.config = on_config,
+	.server = on_server,
+	.server_gone = on_server_gone,
+	.list = on_list,
+	.rollout = on_rollout,
+	.rollout_gone = on_rollout_gone,
+	.current = on_current,
+	.lost = on_lost,
+};
+
+static void on_readiness(void *user, struct hs_req *req)
+{
+	const struct gwy *g = user;
+
+	if (gwy_is_ready(g))
+		hs_reply(req, 200, "text/plain", "ready\n", 6);
+	else
+		hs_reply(req, 503, "text/plain", "not ready\n", 10);
+}
+
+static void on_operator(void *user, struct hs_req *req)
+{
+	struct gwy *g = user;
+	g_autoptr(GString) text = NULL;
+
+	if (strcmp(hs_path(req), "/metrics") != 0) {
+		hs_reply(req, 404, "text/plain", "unknown path\n", 13);
+		return;
+	}
+	text = g_string_new(NULL);
+	ctr_text(&g->ctr, text);
+	hs_reply(req, 200, "text/plain; version=0.0.4", text->str, text->len);
+}
+
+static void apply_budget(struct gwy *g)
+{
+	const struct bud_params p = {
+		.ratio = g->settings->retry_ratio,
+		.burst = g->settings->retry_burst,
+		.nodes = (uint32_t)g->settings->fleet_nodes,
+	};
+
+	bud_set(&g->budget, &p);
+}
+
+/* Reads the settings anew. Bad ones change nothing. */
+static void reload(struct gwy *g, const char *why)
+{
+	GError *err = NULL;
+	struct set *s = set_read(g->settings_path, &err);
+
+	stat(g->settings_path, &settings_stat);
+	if (!s) {
+		lge(LGE_SETTINGS_BAD, "why=%s error=\"%s\"", why, err->message);
+		g_error_free(err);
+		return;
+	}
+	set_free(g->settings);
+	g->settings = s;
+	apply_budget(g);
+	lge(LGE_SETTINGS_READ, "why=%s file=%s", why, g->settings_path);
+}
+
+static bool settings_changed(const struct gwy *g)
+{
+	struct stat now;
+
+	if (stat(g->settings_path, &now) != 0)
+		return false;
+	return now.st_mtim.tv_sec != settings_stat.st_mtim.tv_sec ||
+	       now.st_mtim.tv_nsec != settings_stat.st_mtim.tv_nsec ||
+	       now.st_size != settings_stat.st_size ||
+	       now.st_ino != settings_stat.st_ino;
+}
+
+static void stop(struct gwy *g)
+{
+	lge(LGE_STOPPED, "node=%s open=%zu", g->settings->node,
+	    g->open_requests);
+	lge_flush();
+	exit(EXIT_SUCCESS);
+}
+
+/*
+ * A graceful shutdown ends when the balancer has had time to turn away, all
+ * requests have their answers, and before the time of grace is over.
+ */
+static void check_drain(struct gwy *g, uint64_t now)
+{
+	uint64_t passed = now - g->drain_at;
+	uint64_t grace = (uint64_t)(1000 * g->settings->grace_s);
+
+	if (passed + GRACE_SLACK_MS >= grace) {
+		if (g->open_requests)
+			lge(LGE_DRAIN_EXPIRED, "open=%zu", g->open_requests);
+		stop(g);
+	}
+	if (passed >= LEAST_DRAIN_MS && !g->open_requests &&
+	    !hs_open_requests(g->door))
+		stop(g);
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+	struct gwy *g = timer->data;
+	uint64_t now = gwy_now(g);
+
+	ticks++;
+	if (ticks % SWEEP_TICKS == 0)
+		svt_sweep(&g->servers);
+	if (ticks % SETTINGS_CHECK_TICKS == 0 && settings_changed(g))
+		reload(g, "changed");
+	if (g->draining)
+		check_drain(g, now);
+	lge_flush();
+}
+
+static void on_stop_signal(uv_signal_t *signal, int number)
+{
+	struct gwy *g = signal->data;
+
+	if (g->draining)
+		return;
+	lge(LGE_STOPPING, "signal=%d open=%zu", number, g->open_requests);
+	g->draining = true;
+	g->drain_at = gwy_now(g);
+	hs_close_after_answers(g->door);
+	note_ready(g);
+}
+
+static void on_reload_signal(uv_signal_t *signal, int number)
+{
+	(void)number;
+	reload(signal->data, "signal");
+}
+
+static void watch_signal(struct gwy *g, uv_signal_t *signal, int number,
+			 uv_signal_cb cb)
+{
+	uv_signal_init(g->loop, signal);
+	signal->data = g;
+	uv_signal_start(signal, cb, number);
+}
+
+static bool open_doors(struct gwy *g, GError **err)
+{
+	const struct set *s = g->settings;
+
+	g->door = hs_listen(g->loop, s->caller_address, FIRST_BODY_BYTES,
+			    FIRST_HEAD_MS, exc_on_request, g, err);
+	if (!g->door)
+		return false;
+	g->readiness = hs_listen(g->loop, s->ready_address, 0, FIRST_HEAD_MS,
+				 on_readiness, g, err);
+	if (!g->readiness)
+		return false;
+	g->operators = hs_listen(g->loop, s->operator_address, 0, FIRST_HEAD_MS,
+				 on_operator, g, err);
+	return g->operators != NULL;
+}
+
+static void seed(struct gwy *g)
+{
+	uint64_t value = 0;
+
+	if (getrandom(&value, sizeof(value), 0) != sizeof(value))
+		g_error("no random numbers: %s", strerror(errno));
+	rng_seed(&g->rng, value);
+}
+
+static void start_feed(struct gwy *g)
+{
+	const struct pfd_options options = {
+		.address = g->settings->platform_address,
+		.timeout_ms = (uint32_t)g->settings->store_timeout_ms,
+		.wait_ms = WATCH_WAIT_MS,
+		.ctr = &g->ctr,
+	};
+
+	g->feed = pfd_start(g->loop, g->http, &options, &feed_events, g);
+}
+
+/* Runs a node that serves configured routes until it is told to stop. */
+int gwy_run(struct set *settings, const char *path)
+{
+	struct gwy *g = &gateway;
+	const struct bud_params none = {0, 0, 1};
+	GError *err = NULL;
+
+	signal(SIGPIPE, SIG_IGN);
+	g->loop = uv_default_loop();
+	g->settings = settings;
+	g->settings_path = path;
+	g->names = &pfn_names;
+	lge_buffer();
+	seed(g);
+	stat(path, &settings_stat);
+	g->http = hc_new(g->loop);
+	svt_init(&g->servers);
+	bud_init(&g->budget, &none);
+	apply_budget(g);
+	if (!open_doors(g, &err)) {
+		fprintf(stderr, "chivegwd: %s\n", err->message);
+		return EXIT_FAILURE;
+	}
+	start_feed(g);
+	watch_signal(g, &on_term, SIGTERM, on_stop_signal);
+	watch_signal(g, &on_int, SIGINT, on_stop_signal);
+	watch_signal(g, &on_hup, SIGHUP, on_reload_signal);
+	uv_timer_init(g->loop, &g->tick);
+	g->tick.data = g;
+	uv_timer_start(&g->tick, on_tick, TICK_MS, TICK_MS);
+	lge(LGE_STARTED, "node=%s zone=%s clients=%s ready=%s version=%s",
+	    settings->node, settings->zone, settings->caller_address,
+	    settings->ready_address, CHIVEGW_VERSION);
+	uv_run(g->loop, UV_RUN_DEFAULT);
+	return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/daemon/gateway.h
@@ -0,0 +1,55 @@
+#ifndef DAEMON_GATEWAY_H
+#define DAEMON_GATEWAY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <uv.h>
+
+#include "counters.h"
+#include "daemon/settings.h"
+#include "exchange/budget.h"
+#include "exchange/feed.h"
+#include "exchange/names.h"
+#include "exchange/routes.h"
+#include "exchange/servers.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "rng.h"
+
+struct pfd;
+
+/*
+ * A node that serves configured routes: its settings, the tables in force and
+ * the tasks. All run on one loop and one thread.
+ */
+struct gwy {
+	uv_loop_t *loop;
+	struct set *settings;
+	const char *settings_path;
+	struct ctr ctr;
+	struct rng rng;
+	struct hc *http;
+	struct hs *door;
+	struct hs *readiness;
+	struct hs *operators;
+	const struct exn *names;
+	struct rts *routes; /* in force; NULL: none yet */
+	struct svt servers;
+	struct bud budget;
+	struct pfd *feed;
+	uint64_t as_of[FED_TOPICS]; /* revision up to which each is known */
+	uint64_t
+		lost_at[FED_TOPICS]; /* since when the source is away; 0: not */
+	bool listed[FED_TOPICS]; /* read at least once */
+	size_t open_requests;
+	bool draining;
+	uint64_t drain_at;
+	uv_timer_t tick;
+};
+
+uint64_t gwy_now(struct gwy *g);
+bool gwy_is_ready(const struct gwy *g);
+bool gwy_config_is_sure(const struct gwy *g, uint64_t now);
+int gwy_run(struct set *settings, const char *path);
+
+#endif
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -61,6 +61,23 @@
 	WHOLE(slow_first_token_ms, 10, 600000,
 	      "a first token later than this counts against a roll-out"),
 	REAL(rating_share, 0, 1, "share of plain answers that get rated"),
+	TEXT(ready_address, false, 9, 21,
+	     "where the balancer asks for readiness; makes the node serve "
+	     "configured routes"),
+	TEXT(seeds, false, 0, 1024,
+	     "addresses of other nodes, separated by commas; may be stale"),
+	REAL(grace_s, 0.1, 3600, "time between the signal to stop and a kill"),
+	WHOLE(fleet_nodes, 1, 4096,
+	      "nodes that share the fleet's retry burst, at most"),
+	REAL(retry_ratio, 0, 10,
+	     "retries for each request that the fleet may send"),
+	REAL(retry_burst, 0, 1000000,
+	     "retries beyond that within a window, of the fleet"),
+	REAL(expose_share, 0, 1,
+	     "share of a service's requests that a version on trial may get"),
+	REAL(expose_slack, 0, 1000000, "requests beyond that share"),
+	REAL(session_s, 0, 3600,
+	     "requests of a session that follow within it belong together"),
 	{0},
 };
 
@@ -83,6 +100,13 @@
 	s->nodes_per_server = 12;
 	s->slow_first_token_ms = 1100;
 	s->rating_share = 0.1;
+	s->grace_s = 8;
+	s->fleet_nodes = 16;
+	s->retry_ratio = 0.5;
+	s->retry_burst = 50;
+	s->expose_share = 0.1;
+	s->expose_slack = 20;
+	s->session_s = 10;
 }
 
 static gboolean check_addresses(const struct set *s, GError **err)
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -33,6 +33,17 @@
 	int64_t nodes_per_server;
 	int64_t slow_first_token_ms;
 	double rating_share;
+
+	/* of a node that serves configured routes */
+	char *ready_address;
+	char *seeds; /* "ip:port,..." of other nodes, may be stale */
+	double grace_s;
+	int64_t fleet_nodes;
+	double retry_ratio;
+	double retry_burst;
+	double expose_share;
+	double expose_slack;
+	double session_s;
 };
 
 extern const struct jsn_key set_keys[];
--- /dev/null
+++ b/exchange/exchange-task.c
@@ -0,0 +1,706 @@
+#include "exchange/exchange-task.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "daemon/gateway.h"
+#include "exchange/events.h"
+#include "exchange/prompt.h"
+#include "exchange/retry.h"
+#include "invariant.h"
+#include "log-event.h"
+
+#define CONNECT_MS 250
+#define MAX_CONNECTS 4
+#define MAX_HELD_BYTES (1024 * 1024)
+#define MAX_UNSENT_BYTES (4 * 1024 * 1024)
+#define KEPT_IDLE_MS 3000
+#define KEPT_IDLE_ONCE_MS 400
+#define LATE_STREAM_MS 2500
+#define MIN_LEFT_MS 5
+
+/* One request of a client, from its arrival to its final answer. */
+struct exc {
+	struct gwy *g;
+	struct hs_req *req; /* NULL once the client has gone */
+	struct rts *routes; /* the table that it was taken with */
+	const struct rts_route *route;
+	const char *service;
+	char *id;
+	const char *org; /* of `routes`; NULL: none */
+	uint32_t urgency;
+	uint64_t started_at;
+	uint64_t deadline; /* the client's or the route's, whichever is first */
+	struct prm prompt;
+	const char *model; /* of `routes`, chosen by us; NULL: the client's */
+	struct rty retry;
+	uint64_t tried[SVT_MAX_TRIED];
+	uint32_t n_tried;
+
+	/* the attempt under way */
+	struct hc_call *call;
+	struct svt_server *server;
+	uint64_t attempt_at;
+	struct rty_answer answer;
+	struct htm_fields head;
+	GString *body;
+	bool streamed; /* the answer is a stream of events */
+	enum evs_fault fault;
+	double head_ms;
+
+	/* what the client has of the answer */
+	struct evs events;
+	bool begun;
+	char *first_server;
+	double first_ms; /* to the first event */
+
+	/* an answer of a server that failed, given if no better comes */
+	int spare_status;
+	struct htm_fields spare_head;
+	GString *spare_body;
+};
+
+static void attempt(struct exc *x);
+
+static void free_exchange(struct exc *x)
+{
+	x->g->open_requests--;
+	htm_fields_clear(&x->head);
+	htm_fields_clear(&x->spare_head);
+	g_string_free(x->body, TRUE);
+	g_string_free(x->spare_body, TRUE);
+	evs_clear(&x->events);
+	rts_unref(x->routes);
+	g_free(x->first_server);
+	g_free(x->id);
+	g_free(x);
+}
+
+/* The client has gone, or has all of its answer. */
+static void on_gone(void *user)
+{
+	struct exc *x = user;
+
+	x->req = NULL;
+	if (x->call)
+		hc_cancel(x->call);
+}
+
+static void end_exchange(struct exc *x)
+{
+	if (x->req)
+		hs_watch_gone(x->req, NULL, NULL);
+	free_exchange(x);
+}
+
+static void log_end(struct exc *x, int status, const char *outcome)
+{
+	uint64_t now = gwy_now(x->g);
+
+	lge(LGE_REQUEST_ENDED,
+	    "request=%s route=%s kind=%s org=%s service=%s server=%s model=%s "
+	    "status=%d outcome=%s attempts=%u verdict=%s first_ms=%.0f "
+	    "ms=%" G_GUINT64_FORMAT " events=%" G_GUINT64_FORMAT
+	    " config=%" G_GUINT64_FORMAT " servers=%" G_GUINT64_FORMAT,
+	    x->id, x->route->name, rts_kind_name(x->route->kind),
+	    x->org ? x->org : "-", x->service,
+	    x->first_server ? x->first_server : "-", x->model ? x->model : "-",
+	    status, outcome, x->retry.sent, vd_name(x->retry.verdict),
+	    x->first_ms, now - x->started_at, x->events.count,
+	    x->routes->revision, x->g->as_of[FED_SERVERS]);
+}
+
+static void refuse(struct gwy *g, struct hs_req *req, int status,
+		   const char *verdict, const char *reason,
+		   uint32_t retry_after_ms)
+{
+	g_autofree char *body = g_strdup_printf(
+		"{\"error\":{\"verdict\":\"%s\",\"reason\":\"%s\"}}", verdict,
+		reason);
+	const char *id = hs_header(req, g->names->request_id);
+	char after[32];
+
+	if (id)
+		hs_add_header(req, g->names->request_id, id);
+	if (retry_after_ms) {
+		snprintf(after, sizeof(after), "%.2f", retry_after_ms / 1000.0);
+		hs_add_header(req, "Retry-After", after);
+	}
+	hs_reply_json(req, status, body);
+}
+
+/* Ends with an answer of our own. */
+static void give_refusal(struct exc *x, const struct rty_refusal *r)
+{
+	log_end(x, r->status, r->reason);
+	ctr_add(&x->g->ctr,
+		x->retry.verdict == VD_NOT_RUN ? CTR_REFUSED_NOT_RUN
+					       : CTR_REFUSED_MAY_HAVE_RUN,
+		1);
+	if (x->req)
+		refuse(x->g, x->req, r->status, vd_name(x->retry.verdict),
+		       r->reason, r->retry_after_ms);
+	end_exchange(x);
+}
+
+static bool is_kept_back(const struct exn *names, const char *name)
+{
+	return !g_ascii_strcasecmp(name, "content-length") ||
+	       !g_ascii_strcasecmp(name, names->load) ||
+	       !g_ascii_strcasecmp(name, names->not_run);
+}
+
+static void add_answer_headers(struct exc *x, const struct htm_fields *head)
+{
+	for (size_t i = 0; i < htm_fields_count(head); i++) {
+		struct htm_field f = htm_field_at(head, i);
+
+		if (!htm_is_hop_by_hop(head, f.name) &&
+		    !is_kept_back(x->g->names, f.name))
+			hs_add_header(x->req, f.name, f.value);
+	}
+}
+
+static void give_whole(struct exc *x, int status, const struct htm_fields *head,
+		       const GString *body)
+{
+	log_end(x, status, status < 400 ? "answered" : "server-failed");
+	ctr_add(&x->g->ctr, CTR_ANSWERED, 1);
+	if (x->req) {
+		add_answer_headers(x, head);
+		hs_reply(x->req, status, NULL, body->str, body->len);
+	}
+	end_exchange(x);
+}
+
+static void begin_answer(struct exc *x)
+{
+	if (x->begun || !x->req)
+		return;
+	x->begun = true;
+	x->first_ms = (double)(gwy_now(x->g) - x->started_at);
+	x->first_server = g_strdup(x->server->id);
+	add_answer_headers(x, &x->head);
+	hs_begin(x->req, x->answer.status);
+}
+
+static void end_stream(struct exc *x)
+{
+	begin_answer(x);
+	log_end(x, x->answer.status, "answered");
+	ctr_add(&x->g->ctr, CTR_ANSWERED, 1);
+	if (x->req)
+		hs_end(x->req);
+	end_exchange(x);
+}
+
+static void break_off(struct exc *x, const char *reason)
+{
+	log_end(x, x->answer.status, reason);
+	ctr_add(&x->g->ctr, CTR_BROKEN_OFF, 1);
+	if (x->req)
+		hs_abort(x->req);
+	end_exchange(x);
+}
+
+static void keep_spare(struct exc *x)
+{
+	GString *body = x->spare_body;
+
+	x->spare_status = x->answer.status;
+	htm_fields_copy(&x->spare_head, &x->head);
+	x->spare_body = x->body;
+	x->body = body;
+}
+
+static enum svt_outcome outcome_of(const struct exc *x, enum hc_end end)
+{
+	switch (x->answer.result) {
+	case RTY_GOOD:
+		return x->answer.status >= 500 ? SVT_FAILED : SVT_GOOD;
+	case RTY_MISDIRECTED:
+		return SVT_MISDIRECTED;
+	case RTY_REFUSED:
+		return SVT_REFUSED;
+	case RTY_CANCELLED:
+		return SVT_NEUTRAL;
+	case RTY_UNSENT:
+	case RTY_BROKEN:
+		return end == HC_SILENT ? SVT_SILENT : SVT_FAILED;
+	}
+	return SVT_NEUTRAL;
+}
+
+static void settle_server(struct exc *x, enum hc_end end)
+{
+	enum svt_outcome outcome = outcome_of(x, end);
+
+	if (outcome == SVT_SILENT && gwy_now(x->g) >= x->deadline)
+		outcome = SVT_NEUTRAL;
+	svt_on_end(&x->g->servers, x->server, gwy_now(x->g), outcome,
+		   x->streamed ? 0 : x->head_ms);
+}
+
+static void log_attempt(const struct exc *x, enum rty_step step)
+{
+	lge(LGE_ATTEMPT_FAILED,
+	    "request=%s server=%s address=%s attempt=%u result=%s status=%d "
+	    "ms=%" G_GUINT64_FORMAT " last_event=%" G_GUINT64_FORMAT
+	    " next=%s load=%.0f",
+	    x->id, x->server->id, x->server->address, x->retry.sent,
+	    rty_result_name(x->answer.result), x->answer.status,
+	    gwy_now(x->g) - x->attempt_at, x->events.last_id,
+	    rty_step_name(step), svt_load(x->server, gwy_now(x->g)));
+}
+
+/* Decides how the request goes on after an attempt, and does it. */
+static void go_on(struct exc *x)
+{
+	struct gwy *g = x->g;
+	struct rty_situation s = {
+		.now = gwy_now(g),
+		.deadline = x->deadline,
+		.begun = x->begun,
+		.client_gone = !x->req,
+		.has_spare = x->spare_status != 0,
+	};
+	enum rty_step step = rty_after(&x->retry, &x->answer, &s);
+
+	if (step == RTY_AGAIN && x->answer.result != RTY_UNSENT &&
+	    !bud_take(&g->budget, x->service)) {
+		lge(LGE_RETRY_DENIED, "request=%s service=%s", x->id,
+		    x->service);
+		step = rty_without_budget(&x->retry, &x->answer, &s);
+	}
+	if (x->answer.result != RTY_GOOD || step != RTY_DELIVER)
+		log_attempt(x, step);
+	x->server = NULL;
+	switch (step) {
+	case RTY_DELIVER:
+		give_whole(x, x->answer.status, &x->head, x->body);
+		return;
+	case RTY_DELIVER_SPARE:
+		give_whole(x, x->spare_status, &x->spare_head, x->spare_body);
+		return;
+	case RTY_AGAIN:
+		if (x->answer.result == RTY_GOOD)
+			keep_spare(x);
+		ctr_add(&g->ctr, x->begun ? CTR_RESUMES : CTR_RETRIES, 1);
+		attempt(x);
+		return;
+	case RTY_BREAK_OFF:
+		break_off(x, "broken-off");
+		return;
+	case RTY_REFUSE: {
+		const struct rty_refusal r = rty_refusal(&x->retry, &s);
+
+		give_refusal(x, &r);
+		return;
+	}
+	case RTY_FORGET:
+		log_end(x, 0, "client-gone");
+		end_exchange(x);
+		return;
+	}
+}
+
+static void on_done(void *user, enum hc_end end)
+{
+	struct exc *x = user;
+
+	x->call = NULL;
+	rty_on_end(&x->answer, end == HC_WHOLE, end == HC_NOT_SENT,
+		   !x->req && end == HC_CANCELLED);
+	if (x->answer.result == RTY_GOOD && x->streamed &&
+	    (x->events.mid_event || x->fault != EVS_OK))
+		x->answer.result = RTY_BROKEN;
+	settle_server(x, end);
+	if (x->answer.result == RTY_GOOD && x->streamed) {
+		rty_on_answer(&x->retry, &x->answer);
+		x->server = NULL;
+		end_stream(x);
+		return;
+	}
+	go_on(x);
+}
+
+/* Reads "running,waiting,slots". */
+static void take_load(struct exc *x, const char *value)
+{
+	unsigned int running, waiting, slots;
+
+	if (value && sscanf(value, "%u,%u,%u", &running, &waiting, &slots) == 3)
+		svt_on_load(x->server, gwy_now(x->g), running, waiting, slots);
+}
+
+static void on_head(void *user, const struct hc_head *head)
+{
+	struct exc *x = user;
+	const struct exn *names = x->g->names;
+	const char *id = htm_find(head->fields, names->request_id);
+	const char *type = htm_find(head->fields, "content-type");
+	const struct rty_head h = {
+		.status = head->status,
+		.has_id = id != NULL,
+		.is_ours = id && !strcmp(id, x->id),
+		.not_run = htm_find(head->fields, names->not_run) != NULL,
+		.receipt = htm_find(head->fields, names->receipt) != NULL,
+		.encoded = htm_find(head->fields, "content-encoding") != NULL,
+	};
+
+	x->head_ms = (double)(gwy_now(x->g) - x->attempt_at) + 0.5;
+	take_load(x, htm_find(head->fields, names->load));
+	if (!rty_on_head(&x->answer, &h)) {
+		hc_cancel(x->call);
+		return;
+	}
+	x->streamed = head->status == 200 && type &&
+		      g_str_has_prefix(type, "text/event-stream");
+	/* A stream that goes on elsewhere keeps the head of its first server. */
+	if (!x->begun)
+		htm_fields_copy(&x->head, head->fields);
+	else if (!x->streamed)
+		x->answer.no_continuation = true;
+}
+
+static void pass_event(void *user, const char *data, size_t len)
+{
+	struct exc *x = user;
+
+	begin_answer(x);
+	if (x->call)
+		hc_set_progress(x->call, rty_gap_ms(&x->retry, x->route));
+	if (x->req)
+		hs_write(x->req, data, len);
+}
+
+static void on_data(void *user, const char *data, size_t len)
+{
+	struct exc *x = user;
+
+	if (x->answer.result != RTY_GOOD)
+		return;
+	if (!x->streamed) {
+		g_string_append_len(x->body, data, (gssize)len);
+		if (x->body->len > MAX_HELD_BYTES)
+			x->answer.too_large = true;
+	} else {
+		x->fault = evs_take(&x->events, data, len, pass_event, x);
+	}
+	if (x->fault != EVS_OK || x->answer.too_large ||
+	    (x->req && hs_unsent(x->req) > MAX_UNSENT_BYTES)) {
+		x->answer.result = RTY_BROKEN;
+		if (x->call)
+			hc_cancel(x->call);
+	}
+}
+
+static const struct hc_events server_events = {on_head, on_data, on_done};
+
+static bool is_ours(const struct exn *names, const char *name)
+{
+	const char *const set[] = {
+		names->deadline, names->tenant,	  names->expect_server,
+		names->urgency,	 "Authorization", "Content-Length",
+		"Expect",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(set); i++)
+		if (!g_ascii_strcasecmp(name, set[i]))
+			return true;
+	for (const char *const *r = names->reserved; *r; r++)
+		if (!g_ascii_strcasecmp(name, *r))
+			return true;
+	return false;
+}
+
+static void add_line(GString *s, const char *name, const char *value)
+{
+	g_string_append_printf(s, "%s: %s\r\n", name, value);
+}
+
+/* The client's header fields, but for those that are ours to set. */
+static void add_client_headers(const struct exc *x, GString *s)
+{
+	const struct exn *names = x->g->names;
+	const struct htm_fields *fields = hs_fields(x->req);
+
+	for (size_t i = 0; i < htm_fields_count(fields); i++) {
+		struct htm_field f = htm_field_at(fields, i);
+
+		if (is_ours(names, f.name) || htm_is_hop_by_hop(fields, f.name))
+			continue;
+		if (x->model && !g_ascii_strcasecmp(f.name, names->model))
+			continue;
+		if (x->begun && !g_ascii_strcasecmp(f.name, names->last_event))
+			continue;
+		add_line(s, f.name, f.value);
+	}
+}
+
+static char *request_headers(const struct exc *x, uint64_t now)
+{
+	const struct exn *names = x->g->names;
+	GString *s = g_string_sized_new(512);
+	char number[32];
+
+	add_client_headers(x, s);
+	snprintf(number, sizeof(number), "%" G_GUINT64_FORMAT,
+		 x->deadline - now);
+	add_line(s, names->deadline, number);
+	add_line(s, names->expect_server, x->server->id);
+	if (x->org)
+		add_line(s, names->tenant, x->org);
+	if (x->model)
+		add_line(s, names->model, x->model);
+	if (x->route->kind == RTS_STREAMING) {
+		snprintf(number, sizeof(number), "%u", x->urgency);
+		add_line(s, names->urgency, number);
+	}
+	if (x->begun) {
+		snprintf(number, sizeof(number), "%" G_GUINT64_FORMAT,
+			 x->events.last_id);
+		add_line(s, names->last_event, number);
+	}
+	return g_string_free(s, FALSE);
+}
+
+static void call_server(struct exc *x, uint64_t now)
+{
+	struct gwy *g = x->g;
+	g_autofree char *headers = request_headers(x, now);
+	g_autofree char *pool =
+		g_strdup_printf("%s/%s", x->server->address, x->server->id);
+	size_t len;
+	const char *body = hs_body(x->req, &len);
+	bool repeatable = rts_may_repeat(x->route);
+	uint32_t left = (uint32_t)(x->deadline - now);
+	uint32_t first =
+		rty_first_ms(&x->retry, x->route, x->prompt.input_tokens);
+	struct hc_request req = {
+		.address = x->server->address,
+		.pool = pool,
+		.method = hs_method(x->req),
+		.path = hs_path(x->req),
+		.headers = headers,
+		.body = body,
+		.len = len,
+		.connect_ms = MIN(CONNECT_MS, left),
+		.first_ms = MIN(first, left),
+		.progress_ms = first,
+		.total_ms = left,
+		.max_idle_ms = repeatable ? KEPT_IDLE_MS : KEPT_IDLE_ONCE_MS,
+		.own_host = true,
+		.no_length =
+			!len && !htm_find(hs_fields(x->req), "content-length"),
+		.id_name = g->names->request_id,
+		.id_value = x->id,
+	};
+
+	ctr_add(&g->ctr, CTR_ATTEMPTS, 1);
+	x->attempt_at = now;
+	x->call = hc_start(g->http, &req, &server_events, x);
+}
+
+static struct svt_server *pick(struct exc *x, uint64_t now)
+{
+	struct svt_wish wish = {
+		.service = x->service,
+		.zone = x->g->settings->zone,
+		.affinity = x->prompt.shared,
+		.affinity_tokens = x->prompt.shared_tokens,
+		.n_tried = x->n_tried,
+	};
+
+	memcpy(wish.tried, x->tried, sizeof(wish.tried));
+	return svt_pick(&x->g->servers, now, &wish, &x->g->rng);
+}
+
+/* Sends the request to a server; without one it ends here. */
+static void attempt(struct exc *x)
+{
+	uint64_t now = gwy_now(x->g);
+	struct rty_situation s = {.now = now,
+				  .deadline = x->deadline,
+				  .begun = x->begun,
+				  .client_gone = !x->req,
+				  .has_spare = x->spare_status != 0};
+
+	INVARIANT(rty_may_send(&x->retry),
+		  "exchange: no second send of what may have run");
+	x->server = now + MIN_LEFT_MS < x->deadline ? pick(x, now) : NULL;
+	if (!x->server) {
+		struct rty_refusal r = rty_refusal(&x->retry, &s);
+
+		if (x->begun)
+			break_off(x, "no-server");
+		else if (x->spare_status)
+			give_whole(x, x->spare_status, &x->spare_head,
+				   x->spare_body);
+		else
+			give_refusal(x, &r);
+		return;
+	}
+	if (x->n_tried < SVT_MAX_TRIED)
+		x->tried[x->n_tried++] = x->server->hash;
+	rty_begin(&x->retry, &x->answer);
+	g_string_truncate(x->body, 0);
+	evs_restart(&x->events);
+	x->streamed = false;
+	x->fault = EVS_OK;
+	x->head_ms = 0;
+	svt_on_start(x->server);
+	call_server(x, now);
+}
+
+static const char *key_of(const struct gwy *g, struct hs_req *req)
+{
+	const char *value = hs_header(req, "authorization");
+	size_t n = strlen(g->names->auth_scheme);
+
+	if (!value ||
+	    g_ascii_strncasecmp(value, g->names->auth_scheme, n) != 0 ||
+	    value[n] != ' ')
+		return NULL;
+	value += n;
+	return value + strspn(value, " ");
+}
+
+static void refuse_early(struct gwy *g, struct hs_req *req, int status,
+			 const char *reason, uint32_t retry_after_ms)
+{
+	const char *id = hs_header(req, g->names->request_id);
+	const char *host = hs_header(req, "host");
+
+	lge(LGE_REQUEST_REFUSED,
+	    "request=%s host=%s status=%d reason=%s config=%" G_GUINT64_FORMAT
+	    " as_of=%" G_GUINT64_FORMAT " sure=%d",
+	    id ? id : "-", host ? host : "-", status, reason,
+	    g->routes ? g->routes->revision : 0, g->as_of[FED_CONFIG],
+	    gwy_config_is_sure(g, gwy_now(g)));
+	ctr_add(&g->ctr, CTR_REFUSED_NOT_RUN, 1);
+	refuse(g, req, status, vd_name(VD_NOT_RUN), reason, retry_after_ms);
+}
+
+/* A refusal that another configuration might not give is not final. */
+static void refuse_by_config(struct gwy *g, struct hs_req *req, int status,
+			     const char *reason)
+{
+	if (gwy_config_is_sure(g, gwy_now(g)))
+		refuse_early(g, req, status, reason, 0);
+	else
+		refuse_early(g, req, 503, "configuration-unsure", 300);
+}
+
+static uint64_t deadline_of(const struct gwy *g, struct hs_req *req,
+			    const struct rts_route *route, uint64_t now)
+{
+	const char *value = hs_header(req, g->names->deadline);
+	uint64_t ms = route->timeout_ms;
+
+	if (value && g_ascii_isdigit(*value))
+		ms = MIN(ms, g_ascii_strtoull(value, NULL, 10));
+	return now + ms;
+}
+
+static void choose_model(struct exc *x)
+{
+	const char *asked = hs_header(x->req, x->g->names->model);
+
+	if (!x->route->n_models || !asked ||
+	    strcmp(asked, x->g->names->any_model) != 0)
+		return;
+	x->model = x->route->priority < 2
+			   ? x->route->models[x->route->n_models - 1]
+			   : x->route->models[0];
+}
+
+static struct exc *new_exchange(struct gwy *g, struct hs_req *req,
+				const struct rts_route *route, rts_handle org,
+				const char *id)
+{
+	struct exc *x = g_new0(struct exc, 1);
+	const char *last_event = hs_header(req, g->names->last_event);
+
+	x->g = g;
+	x->req = req;
+	x->routes = rts_ref(g->routes);
+	x->route = route;
+	x->id = g_strdup(id);
+	x->started_at = gwy_now(g);
+	x->deadline = deadline_of(g, req, route, x->started_at);
+	x->urgency = route->priority;
+	if (org != RTS_NONE) {
+		x->org = g->routes->orgs[org].name;
+		if (g->routes->orgs[org].has_priority)
+			x->urgency = g->routes->orgs[org].priority;
+	}
+	x->urgency = MIN(x->urgency, 9);
+	prm_parse(&x->prompt, hs_header(req, g->names->prefix),
+		  hs_header(req, g->names->tokens));
+	rty_init(&x->retry, route);
+	htm_fields_init(&x->head);
+	htm_fields_init(&x->spare_head);
+	x->body = g_string_new(NULL);
+	x->spare_body = g_string_new(NULL);
+	evs_init(&x->events);
+	if (last_event && g_ascii_isdigit(*last_event))
+		evs_start_after(&x->events,
+				g_ascii_strtoull(last_event, NULL, 10));
+	g->open_requests++;
+	return x;
+}
+
+static void start(struct gwy *g, struct hs_req *req,
+		  const struct rts_route *route, rts_handle org, const char *id)
+{
+	struct exc *x = new_exchange(g, req, route, org, id);
+	rts_handle service = rts_split(route, rng_next(&g->rng));
+
+	x->service = g->routes->services[service].name;
+	choose_model(x);
+	bud_on_request(&g->budget, x->service);
+	hs_watch_gone(req, on_gone, x);
+	attempt(x);
+}
+
+/* Takes a request of a client; it ends by itself. */
+void exc_on_request(void *gateway, struct hs_req *req)
+{
+	struct gwy *g = gateway;
+	const char *id = hs_header(req, g->names->request_id);
+	const char *host = hs_header(req, "host");
+	const char *key = key_of(g, req);
+	const struct rts_route *route;
+	rts_handle h, org = RTS_NONE;
+
+	ctr_add(&g->ctr, CTR_REQUESTS, 1);
+	if (!g->routes || !g->listed[FED_SERVERS]) {
+		refuse_early(g, req, 503, "no-configuration", 400);
+		return;
+	}
+	h = host ? rts_match(g->routes, host, hs_path(req)) : RTS_NONE;
+	if (h == RTS_NONE) {
+		refuse_by_config(g, req, 404, "unknown-route");
+		return;
+	}
+	route = &g->routes->routes[h];
+	if (key)
+		org = rts_org_of_key(g->routes, key);
+	if (org == RTS_NONE && g->routes->n_orgs && !route->is_public) {
+		refuse_by_config(g, req, 401, "unknown-key");
+		return;
+	}
+	if (!id || !*id) {
+		refuse_early(g, req, 400, "no-request-id", 0);
+		return;
+	}
+	if (g->draining && route->kind == RTS_STREAMING &&
+	    gwy_now(g) - g->drain_at > LATE_STREAM_MS) {
+		refuse_early(g, req, 503, "draining", 100);
+		return;
+	}
+	start(g, req, route, org, id);
+}
--- /dev/null
+++ b/exchange/exchange-task.h
@@ -0,0 +1,9 @@
+#ifndef EXCHANGE_EXCHANGE_TASK_H
+#define EXCHANGE_EXCHANGE_TASK_H
+
+struct hs_req;
+
+/* Serves the requests of configured routes; the owner is the node. */
+void exc_on_request(void *gateway, struct hs_req *req);
+
+#endif
--- /dev/null
+++ b/exchange/names.c
@@ -0,0 +1,25 @@
+#include "exchange/names.h"
+
+#include <stddef.h>
+
+static const char *const reserved[] = {NULL};
+
+/* chivegw's own names. */
+const struct exn exn_default = {
+	.request_id = "X-Request-Id",
+	.deadline = "X-Chivegw-Deadline-Ms",
+	.receipt = "X-Chivegw-Receipt",
+	.tenant = "X-Chivegw-Organisation",
+	.expect_server = "X-Chivegw-Server",
+	.load = "X-Chivegw-Load",
+	.not_run = "X-Chivegw-Not-Run",
+	.model = "X-Chivegw-Model",
+	.tokens = "X-Chivegw-Tokens",
+	.prefix = "X-Chivegw-Prefix",
+	.urgency = "X-Chivegw-Urgency",
+	.confidence = "X-Chivegw-Confidence",
+	.last_event = "Last-Event-Id",
+	.auth_scheme = "Bearer",
+	.any_model = "*",
+	.reserved = reserved,
+};
--- /dev/null
+++ b/exchange/routes.c
@@ -0,0 +1,370 @@
+#include "exchange/routes.h"
+
+#include <string.h>
+
+#include "json-check.h"
+
+G_DEFINE_QUARK(rts - error - quark, rts_error)
+
+#define MAX_ROUTES 60000
+#define MAX_TIMEOUT_MS 3600000
+#define MAX_ATTEMPTS 16
+#define DEFAULT_PRIORITY 5
+
+static const char *const kind_names[] = {"idempotent", "non-idempotent",
+					 "streaming"};
+
+/* Returns a kind's name in configurations and logs. */
+const char *rts_kind_name(enum rts_kind kind)
+{
+	return kind_names[kind];
+}
+
+static bool fail(GError **err, enum rts_error code, const char *what,
+		 const char *name)
+{
+	g_set_error(err, RTS_ERROR, code, "routes: %s: %s", name, what);
+	return false;
+}
+
+/* Returns the handle of a service, or RTS_NONE. */
+rts_handle rts_find_service(const struct rts *r, const char *name)
+{
+	for (size_t i = 0; i < r->n_services; i++)
+		if (!strcmp(r->services[i].name, name))
+			return (rts_handle)i;
+	return RTS_NONE;
+}
+
+static uint32_t whole(struct json_object *o, const char *key,
+		      uint32_t otherwise, uint32_t max)
+{
+	int64_t v = jsn_int(o, key, otherwise);
+
+	return (uint32_t)CLAMP(v, 0, (int64_t)max);
+}
+
+static bool build_service(struct rts_service *s, struct json_object *o,
+			  GError **err)
+{
+	struct json_object *models = jsn_get(o, "models");
+
+	s->name = g_strdup(jsn_str(o, "name", ""));
+	if (!*s->name)
+		return fail(err, RTS_ERROR_FORM, "a service needs a name", "-");
+	s->max_connections = whole(o, "max_connections", 0, UINT16_MAX);
+	s->slots = whole(o, "slots", 0, UINT16_MAX);
+	s->n_models = jsn_len(models);
+	s->models = g_new0(struct rts_model, s->n_models + 1);
+	for (size_t i = 0; i < s->n_models; i++) {
+		struct json_object *m = json_object_array_get_idx(models, i);
+
+		s->models[i].name = g_strdup(jsn_str(m, "name", ""));
+		s->models[i].cost = jsn_real(m, "cost", 0);
+	}
+	return true;
+}
+
+static bool build_services(struct rts *r, struct json_object *list,
+			   GError **err)
+{
+	r->n_services = jsn_len(list);
+	r->services = g_new0(struct rts_service, r->n_services + 1);
+	for (size_t i = 0; i < r->n_services; i++)
+		if (!build_service(&r->services[i],
+				   json_object_array_get_idx(list, i), err))
+			return false;
+	return true;
+}
+
+static bool build_splits(const struct rts *r, struct rts_route *route,
+			 struct json_object *list, GError **err)
+{
+	route->n_splits = jsn_len(list);
+	route->splits = g_new0(struct rts_split, route->n_splits + 1);
+	for (size_t i = 0; i < route->n_splits; i++) {
+		struct json_object *o = json_object_array_get_idx(list, i);
+		struct rts_split *s = &route->splits[i];
+
+		s->service = rts_find_service(r, jsn_str(o, "service", ""));
+		s->weight = whole(o, "weight", 1, UINT16_MAX);
+		if (s->service == RTS_NONE)
+			return fail(err, RTS_ERROR_REFERENCE,
+				    "names a service that is not there",
+				    route->name);
+		route->weight_sum += s->weight;
+	}
+	if (!route->weight_sum)
+		return fail(err, RTS_ERROR_FORM,
+			    "needs a service with a weight above 0",
+			    route->name);
+	return true;
+}
+
+static bool parse_kind(const char *name, enum rts_kind *kind)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(kind_names); i++) {
+		if (!strcmp(name, kind_names[i])) {
+			*kind = (enum rts_kind)i;
+			return true;
+		}
+	}
+	return false;
+}
+
+static void build_models(struct rts_route *route, struct json_object *list)
+{
+	route->n_models = jsn_len(list);
+	route->models = g_new0(char *, route->n_models + 1);
+	for (size_t i = 0; i < route->n_models; i++)
+		route->models[i] = g_strdup(json_object_get_string(
+			json_object_array_get_idx(list, i)));
+}
+
+static bool build_route(const struct rts *r, struct rts_route *route,
+			struct json_object *o, GError **err)
+{
+	route->name = g_strdup(jsn_str(o, "name", "-"));
+	route->host = g_ascii_strdown(jsn_str(o, "host", ""), -1);
+	route->path = g_strdup(jsn_str(o, "path", ""));
+	if (!*route->host || route->path[0] != '/' ||
+	    !g_str_has_suffix(route->path, "/"))
+		return fail(err, RTS_ERROR_FORM,
+			    "needs a host and a path that begins and ends "
+			    "with a slash",
+			    route->name);
+	if (!parse_kind(jsn_str(o, "kind", ""), &route->kind))
+		return fail(err, RTS_ERROR_FORM,
+			    "kind is idempotent, non-idempotent or streaming",
+			    route->name);
+	route->resumable = json_object_get_boolean(jsn_get(o, "resumable"));
+	route->is_public = json_object_get_boolean(jsn_get(o, "public"));
+	route->timeout_ms = whole(o, "timeout_ms", 60000, MAX_TIMEOUT_MS);
+	route->objective_ms = whole(o, "objective_ms", 0, MAX_TIMEOUT_MS);
+	route->pause_ms = whole(o, "pause_ms", 0, MAX_TIMEOUT_MS);
+	route->attempts = MAX(whole(o, "attempts", 1, MAX_ATTEMPTS), 1);
+	route->priority = whole(o, "priority", DEFAULT_PRIORITY, UINT16_MAX);
+	build_models(route, jsn_get(o, "models"));
+	return build_splits(r, route, jsn_get(o, "services"), err);
+}
+
+static bool build_org(struct rts *r, size_t i, struct json_object *o,
+		      GError **err)
+{
+	struct json_object *keys = jsn_get(o, "keys");
+	struct rts_org *org = &r->orgs[i];
+
+	org->name = g_strdup(jsn_str(o, "name", ""));
+	if (!*org->name)
+		return fail(err, RTS_ERROR_FORM, "an organisation needs a name",
+			    "-");
+	org->has_priority = jsn_get(o, "priority") != NULL;
+	org->priority = whole(o, "priority", DEFAULT_PRIORITY, UINT16_MAX);
+	for (size_t k = 0; k < jsn_len(keys); k++)
+		g_hash_table_insert(
+			r->keys,
+			g_strdup(json_object_get_string(
+				json_object_array_get_idx(keys, k))),
+			GUINT_TO_POINTER(i + 1));
+	return true;
+}
+
+static bool build_orgs(struct rts *r, struct json_object *list, GError **err)
+{
+	r->n_orgs = jsn_len(list);
+	r->orgs = g_new0(struct rts_org, r->n_orgs + 1);
+	for (size_t i = 0; i < r->n_orgs; i++)
+		if (!build_org(r, i, json_object_array_get_idx(list, i), err))
+			return false;
+	return true;
+}
+
+static void build_limits(struct rts_limits *l, struct json_object *o)
+{
+	l->head_bytes = whole(o, "max_head_bytes", 16384, UINT32_MAX);
+	l->body_bytes = whole(o, "max_body_bytes", 4194304, UINT32_MAX);
+	l->head_ms = whole(o, "head_ms", 10000, MAX_TIMEOUT_MS);
+	l->idle_ms = whole(o, "idle_ms", 60000, MAX_TIMEOUT_MS);
+}
+
+static size_t path_length(const struct rts *r, rts_handle h)
+{
+	return strlen(r->routes[h].path);
+}
+
+/* Keeps a host's routes with the longest path first. */
+static void index_route(struct rts *r, rts_handle h)
+{
+	const char *host = r->routes[h].host;
+	GArray *list = g_hash_table_lookup(r->hosts, host);
+	guint at = 0;
+
+	if (!list) {
+		list = g_array_new(FALSE, FALSE, sizeof(rts_handle));
+		g_hash_table_insert(r->hosts, g_strdup(host), list);
+	}
+	while (at < list->len &&
+	       path_length(r, g_array_index(list, rts_handle, at)) >=
+		       path_length(r, h))
+		at++;
+	g_array_insert_val(list, at, h);
+}
+
+static bool build_routes(struct rts *r, struct json_object *list, GError **err)
+{
+	r->n_routes = jsn_len(list);
+	if (r->n_routes > MAX_ROUTES) {
+		r->n_routes = 0;
+		return fail(err, RTS_ERROR_FORM, "too many routes", "-");
+	}
+	r->routes = g_new0(struct rts_route, r->n_routes + 1);
+	for (size_t i = 0; i < r->n_routes; i++) {
+		if (!build_route(r, &r->routes[i],
+				 json_object_array_get_idx(list, i), err))
+			return false;
+		index_route(r, (rts_handle)i);
+	}
+	return true;
+}
+
+static void unref_array(void *array)
+{
+	g_array_unref(array);
+}
+
+/*
+ * Makes the table of a document with `routes`, `services`, `organisations`
+ * and `limits`. Returns NULL and sets an error if something in it does not
+ * fit together.
+ */
+struct rts *rts_build(struct json_object *doc, uint64_t revision, GError **err)
+{
+	struct rts *r = g_new0(struct rts, 1);
+
+	r->refs = 1;
+	r->revision = revision;
+	r->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	r->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					 unref_array);
+	build_limits(&r->limits, jsn_get(doc, "limits"));
+	if (build_services(r, jsn_get(doc, "services"), err) &&
+	    build_routes(r, jsn_get(doc, "routes"), err) &&
+	    build_orgs(r, jsn_get(doc, "organisations"), err))
+		return r;
+	rts_unref(r);
+	return NULL;
+}
+
+static void free_route(struct rts_route *route)
+{
+	for (size_t i = 0; i < route->n_models; i++)
+		g_free(route->models[i]);
+	g_free(route->models);
+	g_free(route->splits);
+	g_free(route->name);
+	g_free(route->host);
+	g_free(route->path);
+}
+
+/* Takes one more reference to a table. */
+struct rts *rts_ref(struct rts *r)
+{
+	r->refs++;
+	return r;
+}
+
+/* Gives a reference back; the last one frees the table. NULL is allowed. */
+void rts_unref(struct rts *r)
+{
+	if (!r || --r->refs)
+		return;
+	for (size_t i = 0; i < r->n_routes; i++)
+		free_route(&r->routes[i]);
+	for (size_t i = 0; i < r->n_services; i++) {
+		for (size_t k = 0; k < r->services[i].n_models; k++)
+			g_free(r->services[i].models[k].name);
+		g_free(r->services[i].models);
+		g_free(r->services[i].name);
+	}
+	for (size_t i = 0; i < r->n_orgs; i++)
+		g_free(r->orgs[i].name);
+	g_free(r->routes);
+	g_free(r->services);
+	g_free(r->orgs);
+	g_hash_table_unref(r->keys);
+	g_hash_table_unref(r->hosts);
+	g_free(r);
+}
+
+static char *host_name(const char *host)
+{
+	const char *colon = strrchr(host, ':');
+	bool has_port = colon && colon[1] &&
+			strspn(colon + 1, "0123456789") == strlen(colon + 1);
+
+	return g_ascii_strdown(host, has_port ? colon - host : -1);
+}
+
+/*
+ * Returns the route of a request, or RTS_NONE: among the routes of the host,
+ * the one with the longest path that begins the target.
+ */
+rts_handle rts_match(const struct rts *r, const char *host, const char *target)
+{
+	g_autofree char *name = host_name(host);
+	const GArray *list = g_hash_table_lookup(r->hosts, name);
+	size_t len = strcspn(target, "?");
+
+	for (guint i = 0; list && i < list->len; i++) {
+		rts_handle h = g_array_index(list, rts_handle, i);
+		const char *path = r->routes[h].path;
+		size_t n = strlen(path);
+
+		if (n <= len && !memcmp(path, target, n))
+			return h;
+	}
+	return RTS_NONE;
+}
+
+/* Returns the organisation that holds a key, or RTS_NONE. */
+rts_handle rts_org_of_key(const struct rts *r, const char *key)
+{
+	void *found = g_hash_table_lookup(r->keys, key);
+
+	return found ? (rts_handle)(GPOINTER_TO_UINT(found) - 1) : RTS_NONE;
+}
+
+/* Returns the service that a random number draws from the route's split. */
+rts_handle rts_split(const struct rts_route *route, uint64_t draw)
+{
+	uint64_t at = draw % route->weight_sum;
+
+	for (size_t i = 0; i < route->n_splits; i++) {
+		if (at < route->splits[i].weight)
+			return route->splits[i].service;
+		at -= route->splits[i].weight;
+	}
+	return route->splits[0].service;
+}
+
+/* Tells whether a request of the route may run more than once. */
+bool rts_may_repeat(const struct rts_route *route)
+{
+	return route->kind == RTS_IDEMPOTENT ||
+	       (route->kind == RTS_STREAMING && route->resumable);
+}
+
+/* Returns what 1000 generated tokens of a model cost; 0 if not known. */
+double rts_model_cost(const struct rts *r, const struct rts_route *route,
+		      const char *model)
+{
+	for (size_t i = 0; i < route->n_splits; i++) {
+		const struct rts_service *s =
+			&r->services[route->splits[i].service];
+
+		for (size_t k = 0; k < s->n_models; k++)
+			if (!strcmp(s->models[k].name, model))
+				return s->models[k].cost;
+	}
+	return 0;
+}
--- /dev/null
+++ b/exchange/servers.c
@@ -0,0 +1,419 @@
+#include "exchange/servers.h"
+
+#include <float.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define SLOWNESS_WEIGHT 0.1
+#define USUAL_WEIGHT 0.02
+#define FAILURE_WEIGHT 0.1
+#define OTHER_ZONE_LOAD 0.35
+#define COLD_FACTOR 1.6
+#define BOUND_FACTOR 1.35
+#define BOUND_SLACK 2.0
+#define SMALL_PREFIX_TOKENS 400
+#define EJECT_AFTER 2
+#define GREY_SHARE 0.25
+#define ENGINE_SLOTS 32
+
+static const char *const state_names[] = {"ready", "draining", "gone"};
+
+/* Returns a state's name for logs. */
+const char *svt_state_name(enum svt_state state)
+{
+	return state_names[state];
+}
+
+static void free_server(void *p)
+{
+	struct svt_server *s = p;
+
+	g_free(s->id);
+	g_free(s->service);
+	g_free(s->address);
+	g_free(s->zone);
+	g_free(s->version);
+	g_free(s);
+}
+
+/* Starts with no server. */
+void svt_init(struct svt *t)
+{
+	memset(t, 0, sizeof(*t));
+	t->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	t->all = g_ptr_array_new_with_free_func(free_server);
+}
+
+/* Frees all servers. */
+void svt_clear(struct svt *t)
+{
+	g_hash_table_unref(t->by_id);
+	g_ptr_array_unref(t->all);
+}
+
+/* Returns the server with that id, or NULL. */
+struct svt_server *svt_find(const struct svt *t, const char *id)
+{
+	return g_hash_table_lookup(t->by_id, id);
+}
+
+static void set_text(char **field, const char *text)
+{
+	if (!g_strcmp0(*field, text))
+		return;
+	g_free(*field);
+	*field = g_strdup(text);
+}
+
+static struct svt_server *add(struct svt *t, const char *id)
+{
+	struct svt_server *s = g_new0(struct svt_server, 1);
+
+	s->id = g_strdup(id);
+	s->hash = XXH3_64bits(id, strlen(id));
+	s->slowness = 1;
+	g_hash_table_insert(t->by_id, s->id, s);
+	g_ptr_array_add(t->all, s);
+	return s;
+}
+
+/* What was learnt of a server does not hold for another start of it. */
+static void forget_past(struct svt_server *s)
+{
+	s->failures = 0;
+	s->ejections = 0;
+	s->ejected_until = 0;
+	s->failure = 0;
+	s->slowness = 1;
+	s->reported_at = 0;
+}
+
+/*
+ * Takes a server's entry. A server that is leaving stays so, unless its
+ * entry is of a new start: an older entry never brings it back.
+ */
+struct svt_server *svt_put(struct svt *t, uint64_t now,
+			   const struct svt_entry *entry)
+{
+	struct svt_server *s = svt_find(t, entry->id);
+
+	if (s && entry->revision < s->revision)
+		return s;
+	if (!s)
+		s = add(t, entry->id);
+	else if (s->state != SVT_READY ||
+		 g_strcmp0(s->address, entry->address) != 0)
+		forget_past(s);
+	if (g_strcmp0(s->version, entry->version) != 0)
+		s->seen_at = now;
+	set_text(&s->service, entry->service);
+	set_text(&s->address, entry->address);
+	set_text(&s->zone, entry->zone);
+	set_text(&s->version, entry->version);
+	s->slots = entry->slots;
+	s->cold_until = entry->cold_ms ? now + entry->cold_ms : 0;
+	s->state = entry->draining ? SVT_DRAINING : SVT_READY;
+	s->revision = entry->revision;
+	s->listed = true;
+	return s;
+}
+
+/* A server's entry is gone. Returns whether it was there. */
+bool svt_remove(struct svt *t, const char *id)
+{
+	struct svt_server *s = svt_find(t, id);
+
+	if (!s || s->state == SVT_GONE)
+		return false;
+	s->state = SVT_GONE;
+	return true;
+}
+
+/* Begins a whole list: servers not put until its end are gone. */
+void svt_begin_list(struct svt *t)
+{
+	for (guint i = 0; i < t->all->len; i++)
+		((struct svt_server *)t->all->pdata[i])->listed = false;
+}
+
+/* Ends a whole list; returns how many servers it showed to be gone. */
+uint32_t svt_end_list(struct svt *t)
+{
+	uint32_t gone = 0;
+
+	for (guint i = 0; i < t->all->len; i++) {
+		struct svt_server *s = t->all->pdata[i];
+
+		if (s->listed || s->state == SVT_GONE)
+			continue;
+		s->state = SVT_GONE;
+		gone++;
+	}
+	return gone;
+}
+
+/* Frees servers that are gone and have no request of this node. */
+void svt_sweep(struct svt *t)
+{
+	for (guint i = t->all->len; i-- > 0;) {
+		struct svt_server *s = t->all->pdata[i];
+
+		if (s->state != SVT_GONE || s->in_flight)
+			continue;
+		g_hash_table_remove(t->by_id, s->id);
+		g_ptr_array_remove_index_fast(t->all, i);
+	}
+}
+
+/*
+ * Returns the load of a server in requests: this node's own exactly, those
+ * of others by the server's last answer, if that is fresh, or by what the
+ * other nodes told.
+ */
+double svt_load(const struct svt_server *s, uint64_t now)
+{
+	double others = s->others_in_flight;
+
+	if (s->reported_at && now - s->reported_at < SVT_LOAD_FRESH_MS) {
+		double told = s->reported > s->reported_in_flight
+				      ? s->reported - s->reported_in_flight
+				      : 0;
+
+		others = MAX(others, told);
+	}
+	return s->in_flight + others;
+}
+
+static bool was_tried(const struct svt_wish *w, const struct svt_server *s)
+{
+	for (uint32_t i = 0; i < w->n_tried; i++)
+		if (w->tried[i] == s->hash)
+			return true;
+	return false;
+}
+
+static bool version_fits(const struct svt_wish *w, const struct svt_server *s)
+{
+	switch (w->versions) {
+	case SVT_ANY_VERSION:
+		return true;
+	case SVT_ONLY:
+		return !g_strcmp0(s->version, w->version);
+	case SVT_NOT:
+		return g_strcmp0(s->version, w->version) != 0;
+	}
+	return true;
+}
+
+static bool is_candidate(const struct svt_server *s, uint64_t now,
+			 const struct svt_wish *w, bool ejected_too)
+{
+	return s->state == SVT_READY && !strcmp(s->service, w->service) &&
+	       version_fits(w, s) && !was_tried(w, s) &&
+	       (ejected_too || s->ejected_until <= now);
+}
+
+static double weighed_load(const struct svt_server *s, uint64_t now,
+			   const struct svt_wish *w)
+{
+	double slots = s->slots ? s->slots : 1;
+	double load = (svt_load(s, now) + 1) / MIN(slots, ENGINE_SLOTS);
+
+	load *= CLAMP(s->slowness, 0.5, 8) * (1 + 4 * s->failure);
+	if (s->cold_until > now)
+		load *= COLD_FACTOR;
+	if (g_strcmp0(s->zone, w->zone) != 0)
+		load += OTHER_ZONE_LOAD / MIN(slots, ENGINE_SLOTS);
+	return load;
+}
+
+static struct svt_server *least_loaded(struct svt *t, uint64_t now,
+				       const struct svt_wish *w,
+				       bool ejected_too, struct rng *rng)
+{
+	struct svt_server *best = NULL;
+	double best_load = DBL_MAX;
+	guint start = t->all->len ? rng_below(rng, t->all->len) : 0;
+
+	for (guint k = 0; k < t->all->len; k++) {
+		struct svt_server *s = t->all->pdata[(start + k) % t->all->len];
+		double load;
+
+		if (!is_candidate(s, now, w, ejected_too))
+			continue;
+		load = weighed_load(s, now, w);
+		if (load < best_load) {
+			best = s;
+			best_load = load;
+		}
+	}
+	return best;
+}
+
+static uint64_t rank_of(const struct svt_server *s, uint64_t affinity)
+{
+	const uint64_t both[2] = {s->hash, affinity};
+
+	return XXH3_64bits(both, sizeof(both));
+}
+
+static double mean_load(const struct svt *t, uint64_t now,
+			const struct svt_wish *w)
+{
+	double sum = 0;
+	uint32_t n = 0;
+
+	for (guint i = 0; i < t->all->len; i++) {
+		const struct svt_server *s = t->all->pdata[i];
+
+		if (!is_candidate(s, now, w, false))
+			continue;
+		sum += svt_load(s, now);
+		n++;
+	}
+	return n ? sum / n : 0;
+}
+
+/*
+ * Rendezvous hashing with bounded load: the server that ranks highest for the
+ * shared part among those that are not far above the mean load.
+ */
+static struct svt_server *by_affinity(struct svt *t, uint64_t now,
+				      const struct svt_wish *w)
+{
+	double bound = mean_load(t, now, w) * BOUND_FACTOR + BOUND_SLACK;
+	struct svt_server *best = NULL;
+	uint64_t best_rank = 0;
+
+	for (guint i = 0; i < t->all->len; i++) {
+		struct svt_server *s = t->all->pdata[i];
+		uint64_t rank;
+
+		if (!is_candidate(s, now, w, false) ||
+		    svt_load(s, now) * s->slowness > bound ||
+		    s->failure > GREY_SHARE)
+			continue;
+		rank = rank_of(s, w->affinity);
+		if (!best || rank > best_rank) {
+			best = s;
+			best_rank = rank;
+		}
+	}
+	return best;
+}
+
+/*
+ * Chooses a server that is ready and was not tried yet, or returns NULL.
+ * Ejected ones are used only if there is no other.
+ */
+struct svt_server *svt_pick(struct svt *t, uint64_t now,
+			    const struct svt_wish *w, struct rng *rng)
+{
+	struct svt_server *s = NULL;
+
+	if (w->affinity && w->affinity_tokens >= SMALL_PREFIX_TOKENS)
+		s = by_affinity(t, now, w);
+	if (!s)
+		s = least_loaded(t, now, w, false, rng);
+	return s ? s : least_loaded(t, now, w, true, rng);
+}
+
+/* A request of this node goes to the server. */
+void svt_on_start(struct svt_server *s)
+{
+	s->in_flight++;
+}
+
+/* Takes the load that an answer of the server told. */
+void svt_on_load(struct svt_server *s, uint64_t now, uint32_t running,
+		 uint32_t waiting, uint32_t slots)
+{
+	s->reported = running + waiting;
+	s->reported_waiting = waiting;
+	s->reported_in_flight = s->in_flight;
+	s->reported_at = now;
+	if (slots)
+		s->slots = slots;
+}
+
+static void eject(struct svt_server *s, uint64_t now)
+{
+	uint64_t ms = (uint64_t)SVT_EJECT_FIRST_MS << MIN(s->ejections, 4);
+
+	s->ejections++;
+	s->ejected_until = now + MIN(ms, SVT_EJECT_MAX_MS);
+}
+
+static void note_times(struct svt *t, struct svt_server *s, double head_ms)
+{
+	if (head_ms <= 0)
+		return;
+	if (t->usual_ms <= 0)
+		t->usual_ms = head_ms;
+	s->slowness += SLOWNESS_WEIGHT *
+		       (MIN(head_ms / t->usual_ms, 20) - s->slowness);
+	t->usual_ms += USUAL_WEIGHT * (head_ms - t->usual_ms);
+}
+
+/*
+ * A request of this node at the server has ended; head_ms is the time to the
+ * head of a plain answer, 0 if it says nothing.
+ */
+void svt_on_end(struct svt *t, struct svt_server *s, uint64_t now,
+		enum svt_outcome outcome, double head_ms)
+{
+	if (s->in_flight)
+		s->in_flight--;
+	switch (outcome) {
+	case SVT_GOOD:
+		s->failures = 0;
+		s->ejections = 0;
+		s->failure -= FAILURE_WEIGHT * s->failure;
+		note_times(t, s, head_ms);
+		break;
+	case SVT_FAILED:
+		s->failures++;
+		s->failure += FAILURE_WEIGHT * (1 - s->failure);
+		if (s->failures >= EJECT_AFTER)
+			eject(s, now);
+		break;
+	case SVT_SILENT:
+		s->failure += FAILURE_WEIGHT * (1 - s->failure);
+		eject(s, now);
+		break;
+	case SVT_MISDIRECTED:
+		s->state = SVT_GONE;
+		break;
+	case SVT_REFUSED:
+	case SVT_NEUTRAL:
+		break;
+	}
+}
+
+/* Returns how many servers of a service are ready; version NULL: of any. */
+uint32_t svt_count_ready(const struct svt *t, const char *service,
+			 const char *version)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < t->all->len; i++) {
+		const struct svt_server *s = t->all->pdata[i];
+
+		n += s->state == SVT_READY && !strcmp(s->service, service) &&
+		     (!version || !g_strcmp0(s->version, version));
+	}
+	return n;
+}
+
+/* Tells whether some server of a service has a free slot. */
+bool svt_has_room(const struct svt *t, uint64_t now, const char *service)
+{
+	for (guint i = 0; i < t->all->len; i++) {
+		const struct svt_server *s = t->all->pdata[i];
+
+		if (s->state == SVT_READY && !strcmp(s->service, service) &&
+		    svt_load(s, now) < MAX(s->slots, 1))
+			return true;
+	}
+	return false;
+}
--- a/log-event.c
+++ b/log-event.c
@@ -1,11 +1,18 @@
 #include "log-event.h"
 
+#include <fcntl.h>
 #include <stdarg.h>
 #include <stdio.h>
+#include <time.h>
+#include <unistd.h>
 
 #define LOG_DOMAIN "chivegw"
+#define MAX_HELD_BYTES (128 * 1024)
 
 static const char *node_name = "-";
+static GString *held; /* lines not written yet */
+static bool buffered;
+static unsigned int dropped;
 
 struct event_row {
 	enum lge_event event;
@@ -49,28 +56,79 @@
 	return "-";
 }
 
+static void append_time(GString *out)
+{
+	struct timespec now;
+	struct tm tm;
+	char text[32];
+
+	clock_gettime(CLOCK_REALTIME, &now);
+	gmtime_r(&now.tv_sec, &tm);
+	strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%S", &tm);
+	g_string_append_printf(out, "%s.%06ldZ", text, now.tv_nsec / 1000);
+}
+
 /* One line an event: time, level, node, number, text. */
 static GLogWriterOutput write_line(GLogLevelFlags level,
 				   const GLogField *fields, gsize n,
 				   gpointer user)
 {
-	g_autoptr(GDateTime) now = g_date_time_new_now_utc();
-	g_autofree char *when =
-		g_date_time_format(now, "%Y-%m-%dT%H:%M:%S.%fZ");
-
 	(void)user;
-	fprintf(stderr, "%s %s %s E%s %s\n", when, level_name(level), node_name,
-		field(fields, n, "EVENT"), field(fields, n, "MESSAGE"));
+	if (held->len > MAX_HELD_BYTES) {
+		dropped++;
+		return G_LOG_WRITER_HANDLED;
+	}
+	append_time(held);
+	g_string_append_printf(held, " %s %s E%s %s\n", level_name(level),
+			       node_name, field(fields, n, "EVENT"),
+			       field(fields, n, "MESSAGE"));
+	if (!buffered)
+		lge_flush();
 	return G_LOG_WRITER_HANDLED;
 }
 
-/* Sends all logs of the process to standard error, one line each. */
+/*
+ * Writes the lines held to standard output, as far as it takes them without
+ * blocking. Lines that did not fit were dropped; their number is logged.
+ */
+void lge_flush(void)
+{
+	ssize_t n;
+
+	if (!held || !held->len)
+		return;
+	n = write(STDOUT_FILENO, held->str, held->len);
+	if (n > 0)
+		g_string_erase(held, 0, n);
+	if (dropped && held->len < MAX_HELD_BYTES / 2) {
+		unsigned int count = dropped;
+
+		dropped = 0;
+		lge(LGE_LOG_DROPPED, "lines=%u", count);
+	}
+}
+
+/* Sends all logs of the process to standard output, one line each. */
 void lge_setup(const char *node)
 {
 	node_name = g_strdup(node);
+	held = g_string_new(NULL);
 	g_log_set_writer_func(write_line, NULL, NULL);
 }
 
+/*
+ * From now on lines wait for lge_flush(), and standard output never blocks
+ * the process.
+ */
+void lge_buffer(void)
+{
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+	if (flags >= 0)
+		fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+	buffered = true;
+}
+
 /* Logs a numbered event with its particulars. */
 void lge(enum lge_event event, const char *fmt, ...)
 {
--- a/log-event.h
+++ b/log-event.h
@@ -2,6 +2,7 @@
 #define LOG_EVENT_H
 
 #include <glib.h>
+#include <stdbool.h>
 
 /*
  * Numbered events. The catalogue docs/EVENTS.md has a row for each; numbers
@@ -30,7 +31,17 @@
 	X(ROLLOUT_DONE, 402, MESSAGE, "roll-out done")                         \
 	X(LEASE_TAKEN, 410, MESSAGE, "lease taken")                            \
 	X(MEMBER_CHANGED, 500, MESSAGE, "member changed state")                \
-	X(USAGE_WAITING, 600, WARNING, "usage records wait for the store")
+	X(USAGE_WAITING, 600, WARNING, "usage records wait for the store")     \
+	X(SETTINGS_READ, 110, MESSAGE, "settings read")                        \
+	X(SETTINGS_BAD, 111, WARNING, "settings not usable, old ones stay")    \
+	X(LOG_DROPPED, 112, WARNING, "log lines dropped")                      \
+	X(READY, 120, MESSAGE, "readiness changed")                            \
+	X(REQUEST_ENDED, 700, MESSAGE, "request ended")                        \
+	X(ATTEMPT_FAILED, 701, MESSAGE, "attempt without an answer to give")   \
+	X(REQUEST_REFUSED, 702, MESSAGE, "request refused")                    \
+	X(RETRY_DENIED, 703, MESSAGE, "no retry budget")                       \
+	X(SERVER_CHANGED, 710, MESSAGE, "server changed state")                \
+	X(SERVERS_LISTED, 711, MESSAGE, "servers listed")
 
 enum lge_event {
 #define X(id, number, level, text) LGE_##id = number,
@@ -39,6 +50,8 @@
 };
 
 void lge_setup(const char *node);
+void lge_buffer(void);
+void lge_flush(void);
 void lge(enum lge_event event, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
 
 #endif
