--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 LDFLAGS += -fsanitize=address,undefined
 endif
 
-SLICES = exchange config member limit route rollout session order usage backend \
+SLICES = fleet exchange config member limit route rollout session order usage backend \
 	platform trace door daemon wire http answer lease
 LIB_SRC = $(filter-out daemon/chivegwd.c,$(wildcard *.c) \
 	$(foreach s,$(SLICES),$(wildcard $(s)/*.c)))
@@ -46,7 +46,7 @@
 
 # Decisions: no sockets, clocks, loops or global state in these.
 TASK_SRC = $(wildcard */*-task.c)
-PURE_SLICES = exchange config member limit route rollout session order usage answer \
+PURE_SLICES = fleet exchange config member limit route rollout session order usage answer \
 	lease wire
 PURE_SRC = verdict.c rng.c json-check.c backend/placement.c $(filter-out $(TASK_SRC), \
 	$(foreach s,$(PURE_SLICES),$(wildcard $(s)/*.c)))
@@ -84,7 +84,7 @@
 	$(AR) rcs $@ $^
 
 # Committed output of rpcgen declares a buffer that it does not use.
-$(BUILD)/wire/peer-xdr.o: WARNINGS += -Wno-unused-variable
+$(BUILD)/wire/peer-xdr.o $(BUILD)/wire/fleet-xdr.o: WARNINGS += -Wno-unused-variable
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
@@ -140,7 +140,7 @@
 check-pure: $(PURE_OBJ)
 	@t/check-pure.sh $(PURE_SRC) -- $(PURE_OBJ)
 
-FORMATTED = $(filter-out wire/peer.h wire/peer-xdr.c config/schema.c, \
+FORMATTED = $(filter-out wire/peer.h wire/peer-xdr.c wire/fleet.h wire/fleet-xdr.c config/schema.c, \
 	$(wildcard *.[ch] */*.[ch] t/helper/*.[ch] t/fuzz/*.[ch]))
 
 format:
@@ -149,7 +149,7 @@
 check-format:
 	@clang-format --dry-run --Werror $(FORMATTED)
 
-LINTED = $(filter-out wire/peer-xdr.c,$(LIB_SRC)) daemon/chivegwd.c \
+LINTED = $(filter-out wire/peer-xdr.c wire/fleet-xdr.c,$(LIB_SRC)) daemon/chivegwd.c \
 	$(wildcard chivegw.c builtin/*.c)
 
 lint:
--- a/daemon/gateway.c
+++ b/daemon/gateway.c
@@ -10,9 +10,12 @@
 
 #include "daemon/version.h"
 #include "exchange/exchange-task.h"
+#include "fleet/fleet-task.h"
+#include "fleet/state-task.h"
 #include "log-event.h"
 #include "platform/feed-task.h"
 #include "platform/names.h"
+#include "rollout/shift-task.h"
 
 #define TICK_MS 100
 #define SETTINGS_CHECK_TICKS 10
@@ -37,10 +40,16 @@
 	return uv_now(g->loop);
 }
 
+/* Tells whether all that a request needs has been read at least once. */
+bool gwy_knows_all(const struct gwy *g)
+{
+	return g->routes && g->listed[FED_SERVERS] && g->listed[FED_ROLLOUTS];
+}
+
 /* Tells whether the balancer may send new connections here. */
 bool gwy_is_ready(const struct gwy *g)
 {
-	return g->routes && g->listed[FED_SERVERS] && !g->draining;
+	return gwy_knows_all(g) && !g->draining;
 }
 
 /*
@@ -96,6 +105,8 @@
 	}
 	rts_unref(g->routes);
 	g->routes = routes;
+	json_object_put(g->doc);
+	g->doc = json_object_get(doc);
 	apply_limits(g);
 	ctr_add(&g->ctr, CTR_CONFIG_APPLIED, 1);
 	lge(LGE_CONFIG_IN_FORCE,
@@ -147,24 +158,32 @@
 
 static void on_rollout(void *user, const struct fed_rollout *order)
 {
-	(void)user;
-	(void)order;
+	struct gwy *g = user;
+
+	sht_on_order(g->shifts, gwy_now(g), order);
 }
 
 static void on_rollout_gone(void *user, const char *service)
 {
-	(void)user;
-	(void)service;
+	struct gwy *g = user;
+
+	sht_on_gone(g->shifts, service);
+}
+
+/* All changes of the topic up to a revision are known, by whatever way. */
+void gwy_take_as_of(struct gwy *g, enum fed_topic topic, uint64_t revision)
+{
+	g->as_of[topic] = MAX(g->as_of[topic], revision);
+	g->listed[topic] = true;
+	note_ready(g);
 }
 
 static void on_current(void *user, enum fed_topic topic, uint64_t revision)
 {
 	struct gwy *g = user;
 
-	g->as_of[topic] = revision;
 	g->lost_at[topic] = 0;
-	g->listed[topic] = true;
-	note_ready(g);
+	gwy_take_as_of(g, topic, revision);
 }
 
 static void on_lost(void *user, enum fed_topic topic, const char *reason)
@@ -202,6 +221,10 @@
 	struct gwy *g = user;
 	g_autoptr(GString) text = NULL;
 
+	if (g_str_has_prefix(hs_path(req), PST_PATH)) {
+		pst_serve(g, req);
+		return;
+	}
 	if (strcmp(hs_path(req), "/metrics") != 0) {
 		hs_reply(req, 404, "text/plain", "unknown path\n", 13);
 		return;
@@ -211,7 +234,7 @@
 	hs_reply(req, 200, "text/plain; version=0.0.4", text->str, text->len);
 }
 
-static void apply_budget(struct gwy *g)
+static void apply_settings(struct gwy *g)
 {
 	const struct bud_params p = {
 		.ratio = g->settings->retry_ratio,
@@ -220,6 +243,7 @@
 	};
 
 	bud_set(&g->budget, &p);
+	csc_parse(&g->cascade, g->settings->quality_targets);
 }
 
 /* Reads the settings anew. Bad ones change nothing. */
@@ -236,7 +260,7 @@
 	}
 	set_free(g->settings);
 	g->settings = s;
-	apply_budget(g);
+	apply_settings(g);
 	lge(LGE_SETTINGS_READ, "why=%s file=%s", why, g->settings_path);
 }
 
@@ -285,8 +309,13 @@
 	uint64_t now = gwy_now(g);
 
 	ticks++;
-	if (ticks % SWEEP_TICKS == 0)
+	flt_tick(g->fleet, now);
+	pst_tick(g->state, now);
+	sht_tick(g->shifts, now);
+	if (ticks % SWEEP_TICKS == 0) {
 		svt_sweep(&g->servers);
+		rcs_sweep(&g->recent, now);
+	}
 	if (ticks % SETTINGS_CHECK_TICKS == 0 && settings_changed(g))
 		reload(g, "changed");
 	if (g->draining)
@@ -304,6 +333,7 @@
 	g->draining = true;
 	g->drain_at = gwy_now(g);
 	hs_close_after_answers(g->door);
+	flt_leave(g->fleet);
 	note_ready(g);
 }
 
@@ -342,7 +372,8 @@
 {
 	uint64_t value = 0;
 
-	if (getrandom(&value, sizeof(value), 0) != sizeof(value))
+	if (getrandom(&value, sizeof(value), 0) != sizeof(value) ||
+	    getrandom(&g->boot, sizeof(g->boot), 0) != sizeof(g->boot))
 		g_error("no random numbers: %s", strerror(errno));
 	rng_seed(&g->rng, value);
 }
@@ -356,6 +387,7 @@
 		.ctr = &g->ctr,
 	};
 
+	g->events = &feed_events;
 	g->feed = pfd_start(g->loop, g->http, &options, &feed_events, g);
 }
 
@@ -377,8 +409,12 @@
 	g->http = hc_new(g->loop);
 	svt_init(&g->servers);
 	bud_init(&g->budget, &none);
-	apply_budget(g);
-	if (!open_doors(g, &err)) {
+	apply_settings(g);
+	rcs_init(&g->recent, (uint64_t)(1000 * settings->session_s));
+	g->shifts = sht_new(g);
+	g->state = pst_new(g);
+	g->fleet = flt_start(g, &err);
+	if (!g->fleet || !open_doors(g, &err)) {
 		fprintf(stderr, "chivegwd: %s\n", err->message);
 		return EXIT_FAILURE;
 	}
--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -8,6 +8,7 @@
 #include "counters.h"
 #include "daemon/settings.h"
 #include "exchange/budget.h"
+#include "exchange/cascade.h"
 #include "exchange/feed.h"
 #include "exchange/names.h"
 #include "exchange/routes.h"
@@ -15,8 +16,12 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "rng.h"
+#include "session/recent.h"
 
 struct pfd;
+struct flt;
+struct pst;
+struct sht;
 
 /*
  * A node that serves configured routes: its settings, the tables in force and
@@ -34,9 +39,17 @@
 	struct hs *operators;
 	const struct exn *names;
 	struct rts *routes; /* in force; NULL: none yet */
+	struct json_object *doc; /* of which `routes` was made */
 	struct svt servers;
 	struct bud budget;
+	struct csc cascade;
 	struct pfd *feed;
+	const struct fed_events *events; /* what the feed tells */
+	struct flt *fleet;
+	struct pst *state;
+	struct sht *shifts;
+	struct rcs recent;
+	uint64_t boot; /* differs between any two runs of a node */
 	uint64_t as_of[FED_TOPICS]; /* revision up to which each is known */
 	uint64_t
 		lost_at[FED_TOPICS]; /* since when the source is away; 0: not */
@@ -48,8 +61,10 @@
 };
 
 uint64_t gwy_now(struct gwy *g);
+bool gwy_knows_all(const struct gwy *g);
 bool gwy_is_ready(const struct gwy *g);
 bool gwy_config_is_sure(const struct gwy *g, uint64_t now);
+void gwy_take_as_of(struct gwy *g, enum fed_topic topic, uint64_t revision);
 int gwy_run(struct set *settings, const char *path);
 
 #endif
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -1,5 +1,6 @@
 #include "daemon/settings.h"
 
+#include "exchange/cascade.h"
 #include "http/address.h"
 
 #define ONE_HOUR_MS 3600000
@@ -76,6 +77,9 @@
 	REAL(expose_share, 0, 1,
 	     "share of a service's requests that a version on trial may get"),
 	REAL(expose_slack, 0, 1000000, "requests beyond that share"),
+	TEXT(quality_targets, false, 1, 256,
+	     "quality wanted by priority, 0 to 1, separated by commas; the "
+	     "last one holds for all after it"),
 	REAL(session_s, 0, 3600,
 	     "requests of a session that follow within it belong together"),
 	{0},
@@ -121,6 +125,18 @@
 	return TRUE;
 }
 
+static gboolean check_targets(const struct set *s, GError **err)
+{
+	struct csc c;
+
+	if (csc_parse(&c, s->quality_targets))
+		return TRUE;
+	g_set_error(err, JSN_ERROR, JSN_ERROR_KEY,
+		    "quality_targets: '%s' is no list of numbers from 0 to 1",
+		    s->quality_targets);
+	return FALSE;
+}
+
 static struct set *from_object(struct json_object *obj, GError **err)
 {
 	struct set *s;
@@ -131,7 +147,7 @@
 	set_defaults(s);
 	jsn_fill(s, obj, set_keys);
 	json_object_put(obj);
-	if (check_addresses(s, err))
+	if (check_addresses(s, err) && check_targets(s, err))
 		return s;
 	set_free(s);
 	return NULL;
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -44,6 +44,7 @@
 	double expose_share;
 	double expose_slack;
 	double session_s;
+	char *quality_targets; /* 0 to 1 by priority, first to last */
 };
 
 extern const struct jsn_key set_keys[];
--- /dev/null
+++ b/exchange/cascade.c
@@ -0,0 +1,58 @@
+#include "exchange/cascade.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define DEFAULT_TARGET 0.75
+
+/*
+ * Reads targets by priority, "0.9,0.75". NULL is a list of one. False: the
+ * text is no such list.
+ */
+bool csc_parse(struct csc *c, const char *text)
+{
+	memset(c, 0, sizeof(*c));
+	if (!text) {
+		c->target[c->n++] = DEFAULT_TARGET;
+		return true;
+	}
+	while (c->n < CSC_MAX_TARGETS) {
+		char *end;
+		double v = g_ascii_strtod(text, &end);
+
+		if (end == text || v < 0 || v > 1)
+			return false;
+		c->target[c->n++] = v;
+		if (!*end)
+			return true;
+		if (*end != ',')
+			return false;
+		text = end + 1;
+	}
+	return false;
+}
+
+/* Returns the quality wanted for a priority. */
+double csc_target(const struct csc *c, uint32_t priority)
+{
+	return c->target[MIN(priority, c->n - 1)];
+}
+
+/* Returns which of the route's models is asked first. */
+size_t csc_first(const struct csc *c, const struct rts_route *route)
+{
+	return csc_target(c, route->priority) < 1 ? 0 : route->n_models - 1;
+}
+
+/*
+ * Tells whether an answer is to be dropped for one of the largest model, by
+ * its model's own opinion of it, 0 to 100. An answer without one is kept.
+ */
+bool csc_is_weak(const struct csc *c, const struct rts_route *route,
+		 size_t model, const char *confidence)
+{
+	if (!confidence || model + 1 >= route->n_models)
+		return false;
+	return g_ascii_strtod(confidence, NULL) <
+	       100 * csc_target(c, route->priority);
+}
--- a/exchange/events.c
+++ b/exchange/events.c
@@ -67,7 +67,7 @@
 
 	if (!event_id(event, len, &id))
 		return EVS_NO_ID;
-	if (e->has_last && id <= e->last_id)
+	if (e->has_last && id != e->last_id + 1)
 		return EVS_ORDER;
 	e->last_id = id;
 	e->has_last = true;
--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -11,6 +11,7 @@
 #include "exchange/retry.h"
 #include "invariant.h"
 #include "log-event.h"
+#include "rollout/shift-task.h"
 
 #define CONNECT_MS 250
 #define MAX_CONNECTS 4
@@ -34,7 +35,9 @@
 	uint64_t started_at;
 	uint64_t deadline; /* the client's or the route's, whichever is first */
 	struct prm prompt;
+	uint64_t session; /* hash; 0: none */
 	const char *model; /* of `routes`, chosen by us; NULL: the client's */
+	size_t model_index;
 	struct rty retry;
 	uint64_t tried[SVT_MAX_TRIED];
 	uint32_t n_tried;
@@ -49,6 +52,11 @@
 	bool streamed; /* the answer is a stream of events */
 	enum evs_fault fault;
 	double head_ms;
+	bool sent_by_shift; /* a roll-out of the service runs */
+	enum sft_version version; /* with sent_by_shift */
+	uint64_t attempt_events;
+	uint64_t first_event_at;
+	uint64_t last_event_at;
 
 	/* what the client has of the answer */
 	struct evs events;
@@ -103,7 +111,7 @@
 	    "request=%s route=%s kind=%s org=%s service=%s server=%s model=%s "
 	    "status=%d outcome=%s attempts=%u verdict=%s first_ms=%.0f "
 	    "ms=%" G_GUINT64_FORMAT " events=%" G_GUINT64_FORMAT
-	    " config=%" G_GUINT64_FORMAT " servers=%" G_GUINT64_FORMAT,
+	    " config=%" G_GUINT64_FORMAT " servers=%" G_GUINT64_FORMAT "",
 	    x->id, x->route->name, rts_kind_name(x->route->kind),
 	    x->org ? x->org : "-", x->service,
 	    x->first_server ? x->first_server : "-", x->model ? x->model : "-",
@@ -224,6 +232,7 @@
 		return SVT_MISDIRECTED;
 	case RTY_REFUSED:
 		return SVT_REFUSED;
+	case RTY_WEAK:
 	case RTY_CANCELLED:
 		return SVT_NEUTRAL;
 	case RTY_UNSENT:
@@ -233,10 +242,40 @@
 	return SVT_NEUTRAL;
 }
 
+static uint64_t version_hash(const struct svt_server *s)
+{
+	return XXH3_64bits(s->version, strlen(s->version));
+}
+
+/* Tells a roll-out of the service how the attempt went. */
+static void add_evidence(struct exc *x)
+{
+	struct sft *shift = sht_find(x->g->shifts, x->service);
+	bool failed = x->answer.result == RTY_BROKEN || x->answer.status >= 500;
+	double first = x->head_ms, event = 0;
+
+	if (!shift || !x->sent_by_shift)
+		return;
+	if (x->answer.result != RTY_GOOD && x->answer.result != RTY_BROKEN)
+		return;
+	if (x->attempt_events)
+		first = (double)(x->first_event_at - x->attempt_at) + 0.5;
+	if (x->attempt_events > 2)
+		event = (double)(x->last_event_at - x->first_event_at) /
+			(double)(x->attempt_events - 1);
+	sft_on_answer(shift, x->version,
+		      XXH3_64bits(x->route->name, strlen(x->route->name)),
+		      failed, first, event);
+}
+
 static void settle_server(struct exc *x, enum hc_end end)
 {
 	enum svt_outcome outcome = outcome_of(x, end);
 
+	add_evidence(x);
+	if (x->route->kind == RTS_STREAMING)
+		rcs_note(&x->g->recent, gwy_now(x->g), x->session,
+			 version_hash(x->server));
 	if (outcome == SVT_SILENT && gwy_now(x->g) >= x->deadline)
 		outcome = SVT_NEUTRAL;
 	svt_on_end(&x->g->servers, x->server, gwy_now(x->g), outcome,
@@ -269,12 +308,13 @@
 	enum rty_step step = rty_after(&x->retry, &x->answer, &s);
 
 	if (step == RTY_AGAIN && x->answer.result != RTY_UNSENT &&
-	    !bud_take(&g->budget, x->service)) {
+	    x->answer.result != RTY_WEAK && !bud_take(&g->budget, x->service)) {
 		lge(LGE_RETRY_DENIED, "request=%s service=%s", x->id,
 		    x->service);
 		step = rty_without_budget(&x->retry, &x->answer, &s);
 	}
-	if (x->answer.result != RTY_GOOD || step != RTY_DELIVER)
+	if (x->answer.result != RTY_WEAK &&
+	    (x->answer.result != RTY_GOOD || step != RTY_DELIVER))
 		log_attempt(x, step);
 	x->server = NULL;
 	switch (step) {
@@ -335,6 +375,30 @@
 		svt_on_load(x->server, gwy_now(x->g), running, waiting, slots);
 }
 
+/*
+ * Drops the answer of a small model that holds it for poor, while the client
+ * has none of it, and names the largest model for the next attempt.
+ */
+static bool drop_for_larger(struct exc *x, const struct htm_fields *fields)
+{
+	struct gwy *g = x->g;
+	const struct rty_situation s = {.now = gwy_now(g),
+					.deadline = x->deadline};
+
+	if (!x->model || x->begun || !x->req ||
+	    !csc_is_weak(&g->cascade, x->route, x->model_index,
+			 htm_find(fields, g->names->confidence)))
+		return false;
+	if (!rty_may_repeat_now(&x->retry, &s) ||
+	    !bud_take(&g->budget, x->service))
+		return false;
+	x->model_index = x->route->n_models - 1;
+	x->model = x->route->models[x->model_index];
+	x->answer.result = RTY_WEAK;
+	ctr_add(&g->ctr, CTR_ESCALATIONS, 1);
+	return true;
+}
+
 static void on_head(void *user, const struct hc_head *head)
 {
 	struct exc *x = user;
@@ -358,6 +422,10 @@
 	}
 	x->streamed = head->status == 200 && type &&
 		      g_str_has_prefix(type, "text/event-stream");
+	if (x->streamed && drop_for_larger(x, head->fields)) {
+		hc_cancel(x->call);
+		return;
+	}
 	/* A stream that goes on elsewhere keeps the head of its first server. */
 	if (!x->begun)
 		htm_fields_copy(&x->head, head->fields);
@@ -370,6 +438,9 @@
 	struct exc *x = user;
 
 	begin_answer(x);
+	x->last_event_at = gwy_now(x->g);
+	if (!x->attempt_events++)
+		x->first_event_at = x->last_event_at;
 	if (x->call)
 		hc_set_progress(x->call, rty_gap_ms(&x->retry, x->route));
 	if (x->req)
@@ -504,8 +575,48 @@
 	x->call = hc_start(g->http, &req, &server_events, x);
 }
 
+static enum sft_seen seen_on(const struct exc *x, const struct sft *s,
+			     uint64_t now)
+{
+	uint64_t was = rcs_version(&x->g->recent, now, x->session);
+
+	if (!was)
+		return SFT_UNSEEN;
+	return was == XXH3_64bits(s->target, strlen(s->target)) ? SFT_SEEN_NEW
+								: SFT_SEEN_OLD;
+}
+
+/* Chooses between old and new servers while a roll-out is known. */
+static void choose_version(struct exc *x, uint64_t now, struct svt_wish *wish)
+{
+	const struct sft *s = sht_find(x->g->shifts, x->service);
+	uint64_t hash = x->session ? x->session : rng_next(&x->g->rng);
+
+	if (!s)
+		return;
+	if (!x->sent_by_shift || s->plan.state != SFT_TRIAL)
+		x->version = sft_choose(s, now, hash, seen_on(x, s, now));
+	x->sent_by_shift = true;
+	wish->version = s->target;
+	wish->versions = x->version == SFT_NEW ? SVT_ONLY : SVT_NOT;
+}
+
+/*
+ * The other version serves where the chosen one has no server at all, but for
+ * a new one that is on trial or failed.
+ */
+static bool may_use_other(const struct exc *x)
+{
+	const struct sft *s = sht_find(x->g->shifts, x->service);
+
+	if (!s)
+		return false;
+	return x->version == SFT_NEW || s->plan.state == SFT_COMPLETED;
+}
+
 static struct svt_server *pick(struct exc *x, uint64_t now)
 {
+	struct svt_server *s;
 	struct svt_wish wish = {
 		.service = x->service,
 		.zone = x->g->settings->zone,
@@ -515,7 +626,14 @@
 	};
 
 	memcpy(wish.tried, x->tried, sizeof(wish.tried));
-	return svt_pick(&x->g->servers, now, &wish, &x->g->rng);
+	choose_version(x, now, &wish);
+	s = svt_pick(&x->g->servers, now, &wish, &x->g->rng);
+	if (!s && wish.versions != SVT_ANY_VERSION && may_use_other(x)) {
+		x->version = x->version == SFT_NEW ? SFT_OLD : SFT_NEW;
+		wish.versions = x->version == SFT_NEW ? SVT_ONLY : SVT_NOT;
+		s = svt_pick(&x->g->servers, now, &wish, &x->g->rng);
+	}
+	return s;
 }
 
 /* Sends the request to a server; without one it ends here. */
@@ -551,7 +669,13 @@
 	x->streamed = false;
 	x->fault = EVS_OK;
 	x->head_ms = 0;
+	x->attempt_events = 0;
 	svt_on_start(x->server);
+	if (x->sent_by_shift && sht_find(x->g->shifts, x->service))
+		sft_on_sent(sht_find(x->g->shifts, x->service), x->version);
+	if (x->route->kind == RTS_STREAMING)
+		rcs_note(&x->g->recent, now, x->session,
+			 version_hash(x->server));
 	call_server(x, now);
 }
 
@@ -612,9 +736,10 @@
 	if (!x->route->n_models || !asked ||
 	    strcmp(asked, x->g->names->any_model) != 0)
 		return;
-	x->model = x->route->priority < 2
-			   ? x->route->models[x->route->n_models - 1]
-			   : x->route->models[0];
+	x->model_index = x->events.has_last
+				 ? x->route->n_models - 1
+				 : csc_first(&x->g->cascade, x->route);
+	x->model = x->route->models[x->model_index];
 }
 
 static struct exc *new_exchange(struct gwy *g, struct hs_req *req,
@@ -623,6 +748,7 @@
 {
 	struct exc *x = g_new0(struct exc, 1);
 	const char *last_event = hs_header(req, g->names->last_event);
+	const char *session = hs_header(req, g->names->session);
 
 	x->g = g;
 	x->req = req;
@@ -640,6 +766,8 @@
 	x->urgency = MIN(x->urgency, 9);
 	prm_parse(&x->prompt, hs_header(req, g->names->prefix),
 		  hs_header(req, g->names->tokens));
+	x->session = session ? XXH3_64bits(session, strlen(session))
+			     : x->prompt.session;
 	rty_init(&x->retry, route);
 	htm_fields_init(&x->head);
 	htm_fields_init(&x->spare_head);
@@ -662,6 +790,8 @@
 	x->service = g->routes->services[service].name;
 	choose_model(x);
 	bud_on_request(&g->budget, x->service);
+	if (sht_find(g->shifts, x->service))
+		sft_on_request(sht_find(g->shifts, x->service));
 	hs_watch_gone(req, on_gone, x);
 	attempt(x);
 }
@@ -677,7 +807,7 @@
 	rts_handle h, org = RTS_NONE;
 
 	ctr_add(&g->ctr, CTR_REQUESTS, 1);
-	if (!g->routes || !g->listed[FED_SERVERS]) {
+	if (!gwy_knows_all(g)) {
 		refuse_early(g, req, 503, "no-configuration", 400);
 		return;
 	}
--- a/exchange/names.c
+++ b/exchange/names.c
@@ -20,6 +20,7 @@
 	.confidence = "X-Chivegw-Confidence",
 	.last_event = "Last-Event-Id",
 	.auth_scheme = "Bearer",
+	.session = "X-Chivegw-Session",
 	.any_model = "*",
 	.reserved = reserved,
 };
--- a/exchange/names.h
+++ b/exchange/names.h
@@ -20,6 +20,7 @@
 	const char *confidence; /* 0 to 100: the model's view of its answer */
 	const char *last_event;
 	const char *auth_scheme;
+	const char *session;
 	const char *any_model; /* the client leaves the choice to us */
 	const char *const *reserved; /* a client's are dropped; NULL ends */
 };
--- a/exchange/retry.c
+++ b/exchange/retry.c
@@ -92,6 +92,8 @@
 {
 	if (cancelled)
 		a->result = RTY_CANCELLED;
+	else if (a->result == RTY_WEAK)
+		return;
 	else if (unsent)
 		a->result = RTY_UNSENT;
 	else if (a->result == RTY_GOOD && (!whole || a->too_large))
@@ -106,6 +108,7 @@
 		r->verdict = VD_RAN;
 		break;
 	case RTY_BROKEN:
+	case RTY_WEAK:
 	case RTY_CANCELLED:
 		r->verdict = vd_worst(r->verdict, VD_MAY_HAVE_RUN);
 		break;
@@ -178,6 +181,13 @@
 	return s->now + RETRY_MIN_LEFT_MS > s->deadline ? late : unknown;
 }
 
+/* Tells whether the request could be sent once more after the attempt. */
+bool rty_may_repeat_now(const struct rty *r, const struct rty_situation *s)
+{
+	return r->repeatable && r->sent < r->max_sent &&
+	       s->now + RETRY_MIN_LEFT_MS <= s->deadline;
+}
+
 static bool is_last(const struct rty *r)
 {
 	return !r->repeatable || r->sent >= r->max_sent;
--- a/exchange/retry.h
+++ b/exchange/retry.h
@@ -21,6 +21,7 @@
 	RTY_MISDIRECTED, /* the same: another server has the address */
 	RTY_UNSENT, /* no byte left this node */
 	RTY_BROKEN, /* may have run; no whole answer */
+	RTY_WEAK, /* dropped for an answer of a larger model */
 	RTY_CANCELLED, /* the client has gone */
 };
 
@@ -85,6 +86,7 @@
 				 const struct rty_situation *s);
 struct rty_refusal rty_refusal(const struct rty *r,
 			       const struct rty_situation *s);
+bool rty_may_repeat_now(const struct rty *r, const struct rty_situation *s);
 uint32_t rty_first_ms(const struct rty *r, const struct rts_route *route,
 		      uint32_t input_tokens);
 uint32_t rty_gap_ms(const struct rty *r, const struct rts_route *route);
--- /dev/null
+++ b/fleet/fleet-task.c
@@ -0,0 +1,375 @@
+#include "fleet/fleet-task.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+#include <time.h>
+#include <uv.h>
+#include <xxhash.h>
+
+#include "daemon/gateway.h"
+#include "fleet/state-task.h"
+#include "http/address.h"
+#include "log-event.h"
+#include "member/member.h"
+#include "rollout/shift-task.h"
+#include "wire/codec.h"
+#include "wire/fleet-codec.h"
+
+#define JOIN_EVERY_MS 500
+#define JUDGES 2 /* nodes that get the reports */
+
+struct flt {
+	struct gwy *g;
+	struct mbr members;
+	struct mbr_addr self;
+	uv_udp_t socket;
+	uint8_t in[WIR_MAX_BYTES];
+	uint64_t join_at;
+	uint64_t report_at;
+	uint32_t alive; /* counts last logged */
+	uint32_t suspect;
+};
+
+static void send_bytes(struct flt *t, struct mbr_addr to, const uint8_t *bytes,
+		       size_t len)
+{
+	struct sockaddr_in sa = {.sin_family = AF_INET};
+	uv_buf_t buf = uv_buf_init((char *)bytes, (unsigned int)len);
+
+	if (!len)
+		return;
+	sa.sin_addr.s_addr = htonl(to.ip);
+	sa.sin_port = htons(to.port);
+	if (uv_udp_try_send(&t->socket, &buf, 1, (struct sockaddr *)&sa) > 0)
+		ctr_add(&t->g->ctr, CTR_PEER_BYTES_OUT, len);
+}
+
+static void send_all(struct flt *t, GArray *out)
+{
+	uint8_t bytes[WIR_MAX_BYTES];
+
+	for (guint i = 0; i < out->len; i++) {
+		const struct mbr_out *o =
+			&g_array_index(out, struct mbr_out, i);
+
+		send_bytes(t, o->to, bytes,
+			   wir_encode(&o->msg, t->g->settings->cluster_key,
+				      bytes, sizeof(bytes)));
+	}
+	g_array_free(out, TRUE);
+}
+
+static GArray *new_out(void)
+{
+	return g_array_new(FALSE, FALSE, sizeof(struct mbr_out));
+}
+
+static void tell_head(struct flt *t, uint64_t now)
+{
+	const struct gwy *g = t->g;
+
+	mbr_set_head(&t->members, g->routes ? g->routes->revision : 0, now,
+		     g->routes && !g->lost_at[FED_CONFIG],
+		     g->lost_at[FED_CONFIG] != 0);
+}
+
+static void note_changes(struct flt *t)
+{
+	uint32_t alive = mbr_count(&t->members, MBR_ALIVE);
+	uint32_t suspect = mbr_count(&t->members, MBR_SUSPECT);
+
+	if (alive == t->alive && suspect == t->suspect)
+		return;
+	t->alive = alive;
+	t->suspect = suspect;
+	lge(LGE_MEMBER_CHANGED, "alive=%u suspect=%u leaving=%u dead=%u",
+	    alive + 1, suspect, mbr_count(&t->members, MBR_LEAVING),
+	    mbr_count(&t->members, MBR_DEAD));
+}
+
+/* Greets the nodes named in the settings until enough others are known. */
+static void join(struct flt *t, uint64_t now)
+{
+	const char *seeds = t->g->settings->seeds;
+	g_auto(GStrv) list = g_strsplit(seeds ? seeds : "", ",", -1);
+	GArray *out;
+
+	if (now < t->join_at)
+		return;
+	t->join_at = now + JOIN_EVERY_MS;
+	if (mbr_count(&t->members, MBR_ALIVE) >= g_strv_length(list))
+		return;
+	out = new_out();
+	for (char **s = list; *s; s++) {
+		struct sockaddr_in sa;
+		struct mbr_addr addr = t->self;
+
+		if (!adr_parse(*s, &sa, NULL))
+			continue;
+		addr.ip = ntohl(sa.sin_addr.s_addr);
+		if (addr.ip != t->self.ip)
+			mbr_greet(&t->members, now, addr, out);
+	}
+	send_all(t, out);
+}
+
+static uint64_t rank_hash(const char *duty, const char *node)
+{
+	XXH3_state_t *state = XXH3_createState();
+	uint64_t hash;
+
+	XXH3_64bits_reset(state);
+	XXH3_64bits_update(state, duty, strlen(duty) + 1);
+	XXH3_64bits_update(state, node, strlen(node));
+	hash = XXH3_64bits_digest(state);
+	XXH3_freeState(state);
+	return hash;
+}
+
+static bool is_live(const struct mbr_member *m)
+{
+	return m->is.state == MBR_ALIVE || m->is.state == MBR_SUSPECT;
+}
+
+/*
+ * Returns how many live nodes come before this one for a duty: 0 is the one
+ * that does it first. Nodes with unlike views may both take themselves for
+ * the first; what they do must bear it.
+ */
+uint32_t flt_rank(const struct flt *t, const char *duty)
+{
+	const GArray *members = t->members.members;
+	uint64_t mine = rank_hash(duty, t->g->settings->node);
+	uint32_t rank = 0;
+
+	for (guint i = 0; i < members->len; i++) {
+		const struct mbr_member *m =
+			&g_array_index(members, struct mbr_member, i);
+
+		rank += is_live(m) && rank_hash(duty, m->is.name) < mine;
+	}
+	return rank;
+}
+
+/* Returns the number of live nodes, this one included. */
+uint32_t flt_live(const struct flt *t)
+{
+	return mbr_count(&t->members, MBR_ALIVE) +
+	       mbr_count(&t->members, MBR_SUSPECT) + 1;
+}
+
+static uint32_t rank_of(const struct flt *t, const char *duty,
+			const struct mbr_member *m)
+{
+	const GArray *members = t->members.members;
+	uint64_t its = rank_hash(duty, m->is.name);
+	uint32_t rank = rank_hash(duty, t->g->settings->node) < its;
+
+	for (guint i = 0; i < members->len; i++) {
+		const struct mbr_member *o =
+			&g_array_index(members, struct mbr_member, i);
+
+		rank += is_live(o) && rank_hash(duty, o->is.name) < its;
+	}
+	return rank;
+}
+
+static void send_report(struct flt *t, const struct sft *s, uint64_t now)
+{
+	const GArray *members = t->members.members;
+	uint8_t bytes[WIR_MAX_BYTES];
+	struct wfl_report r;
+	size_t len;
+
+	sht_fill_report(t->g->shifts, s, now, &r);
+	len = wfl_put_report(&r, t->g->settings->cluster_key, bytes,
+			     sizeof(bytes));
+	for (guint i = 0; i < members->len; i++) {
+		const struct mbr_member *m =
+			&g_array_index(members, struct mbr_member, i);
+
+		if (is_live(m) && rank_of(t, s->service, m) < JUDGES)
+			send_bytes(t, m->is.addr, bytes, len);
+	}
+}
+
+/* Tells the plan to the first `most` nodes by rank. */
+static void send_plan(struct flt *t, const struct sft *s, uint64_t now,
+		      uint32_t most)
+{
+	const GArray *members = t->members.members;
+	uint8_t bytes[WIR_MAX_BYTES];
+	struct wfl_plan p = {.plan = s->plan};
+	size_t len;
+
+	p.plan.age_ms = sft_age(s, now);
+	g_strlcpy(p.node, t->g->settings->node, sizeof(p.node));
+	g_strlcpy(p.service, s->service, sizeof(p.service));
+	g_strlcpy(p.target, s->target, sizeof(p.target));
+	len = wfl_put_plan(&p, t->g->settings->cluster_key, bytes,
+			   sizeof(bytes));
+	for (guint i = 0; i < members->len; i++) {
+		const struct mbr_member *m =
+			&g_array_index(members, struct mbr_member, i);
+
+		if (m->is.state == MBR_LEAVING)
+			continue;
+		if (most == UINT32_MAX || rank_of(t, s->service, m) < most)
+			send_bytes(t, m->is.addr, bytes, len);
+	}
+}
+
+/* Tells the counts to the judges, and the plan to all if it is ours to make. */
+static void tell_shifts(struct flt *t, uint64_t now)
+{
+	if (now < t->report_at)
+		return;
+	t->report_at = now + SFT_REPORT_MS;
+	for (uint32_t i = 0; i < sht_count(t->g->shifts); i++) {
+		const struct sft *s = sht_at(t->g->shifts, i);
+
+		if (!sht_is_open(t->g->shifts, i))
+			continue;
+		send_report(t, s, now);
+		if (!flt_rank(t, s->service))
+			send_plan(t, s, now, UINT32_MAX);
+		else if (s->plan.state == SFT_REVERTED)
+			send_plan(t, s, now, JUDGES);
+	}
+}
+
+/* Does what is due; call it every MBR_ACK_MS / 2. */
+void flt_tick(struct flt *t, uint64_t now)
+{
+	GArray *out = new_out();
+
+	tell_head(t, now);
+	mbr_tick(&t->members, now, out);
+	send_all(t, out);
+	join(t, now);
+	tell_shifts(t, now);
+	note_changes(t);
+}
+
+static void on_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
+{
+	struct flt *t = handle->data;
+
+	(void)size;
+	*buf = uv_buf_init((char *)t->in, sizeof(t->in));
+}
+
+static void on_member_message(struct flt *t, const uint8_t *bytes, size_t len)
+{
+	struct gwy *g = t->g;
+	struct mbr_msg msg;
+	struct mbr_head head;
+	uint64_t now = gwy_now(g);
+	GArray *out;
+
+	if (wir_decode(bytes, len, g->settings->cluster_key, &msg) != WIR_OK) {
+		ctr_add(&g->ctr, CTR_PEER_BAD, 1);
+		return;
+	}
+	out = new_out();
+	tell_head(t, now);
+	head = mbr_on_message(&t->members, now, &msg, out);
+	send_all(t, out);
+	if (head.revision > (g->routes ? g->routes->revision : 0))
+		pst_on_newer(g->state, now, msg.from.addr.ip);
+	note_changes(t);
+}
+
+static void on_report(struct flt *t, const uint8_t *bytes, size_t len)
+{
+	struct wfl_report r;
+
+	if (wfl_get_report(bytes, len, t->g->settings->cluster_key, &r) !=
+	    WIR_OK)
+		ctr_add(&t->g->ctr, CTR_PEER_BAD, 1);
+	else
+		sht_on_report(t->g->shifts, gwy_now(t->g), &r);
+}
+
+static void on_plan(struct flt *t, const uint8_t *bytes, size_t len)
+{
+	struct wfl_plan p;
+
+	if (wfl_get_plan(bytes, len, t->g->settings->cluster_key, &p) != WIR_OK)
+		ctr_add(&t->g->ctr, CTR_PEER_BAD, 1);
+	else
+		sht_on_plan(t->g->shifts, gwy_now(t->g), &p);
+}
+
+static void on_receive(uv_udp_t *socket, ssize_t len, const uv_buf_t *buf,
+		       const struct sockaddr *from, unsigned int flags)
+{
+	struct flt *t = socket->data;
+	const uint8_t *bytes = (const uint8_t *)buf->base;
+
+	if (len <= 0 || !from || (flags & UV_UDP_PARTIAL))
+		return;
+	ctr_add(&t->g->ctr, CTR_PEER_BYTES_IN, (uint64_t)len);
+	switch (wfl_kind_of(bytes, (size_t)len)) {
+	case WFL_OTHER:
+		on_member_message(t, bytes, (size_t)len);
+		break;
+	case WFL_REPORT:
+		on_report(t, bytes, (size_t)len);
+		break;
+	case WFL_PLAN:
+		on_plan(t, bytes, (size_t)len);
+		break;
+	}
+}
+
+/* Starts to take part; an error is set if the address cannot be bound. */
+struct flt *flt_start(struct gwy *g, GError **err)
+{
+	struct flt *t = g_new0(struct flt, 1);
+	struct sockaddr_in sa;
+	int rc;
+
+	t->g = g;
+	adr_parse(g->settings->peer_address, &sa, NULL);
+	t->self.ip = ntohl(sa.sin_addr.s_addr);
+	t->self.port = ntohs(sa.sin_port);
+	uv_udp_init(g->loop, &t->socket);
+	t->socket.data = t;
+	rc = uv_udp_bind(&t->socket, (struct sockaddr *)&sa, 0);
+	if (rc) {
+		g_set_error(err, ADR_ERROR, ADR_ERROR_LISTEN,
+			    "cannot listen on %s: %s",
+			    g->settings->peer_address, uv_strerror(rc));
+		return NULL;
+	}
+	mbr_init(&t->members, g->settings->node, t->self, (uint32_t)time(NULL),
+		 rng_next(&g->rng));
+	uv_udp_recv_start(&t->socket, on_alloc, on_receive);
+	return t;
+}
+
+/* Tells the others that this node leaves. */
+void flt_leave(struct flt *t)
+{
+	GArray *out = new_out();
+
+	mbr_leave(&t->members, gwy_now(t->g), out);
+	send_all(t, out);
+}
+
+/* Returns the address of a live node drawn at random, or 0. */
+uint32_t flt_any_ip(const struct flt *t, struct rng *rng)
+{
+	const GArray *members = t->members.members;
+	guint start = members->len ? rng_below(rng, members->len) : 0;
+
+	for (guint i = 0; i < members->len; i++) {
+		const struct mbr_member *m = &g_array_index(
+			members, struct mbr_member, (start + i) % members->len);
+
+		if (m->is.state == MBR_ALIVE)
+			return m->is.addr.ip;
+	}
+	return 0;
+}
--- /dev/null
+++ b/fleet/state-task.c
@@ -0,0 +1,277 @@
+#include "fleet/state-task.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "daemon/gateway.h"
+#include "fleet/fleet-task.h"
+#include "json-check.h"
+#include "log-event.h"
+#include "platform/feed-task.h"
+#include "rollout/shift-task.h"
+
+#define ASK_EVERY_MS 300
+#define LOST_FOR_MS 150
+#define ANSWER_MS 400
+#define MAX_ANSWER_BYTES (8 * 1024 * 1024)
+#define KEY_HEADER "X-Chivegw-Cluster-Key"
+
+struct pst {
+	struct gwy *g;
+	struct hc_call *call;
+	GString *body;
+	int status;
+	uint64_t asked_at;
+	uint64_t refreshed_at;
+	char address[32];
+};
+
+/* Makes the task; it asks nobody yet. */
+struct pst *pst_new(struct gwy *g)
+{
+	struct pst *t = g_new0(struct pst, 1);
+
+	t->g = g;
+	t->body = g_string_new(NULL);
+	return t;
+}
+
+static struct json_object *server_json(const struct svt_server *s)
+{
+	struct json_object *o = json_object_new_object();
+
+	jsn_add_str(o, "id", s->id);
+	jsn_add_str(o, "service", s->service);
+	jsn_add_str(o, "address", s->address);
+	jsn_add_str(o, "zone", s->zone);
+	jsn_add_str(o, "version", s->version);
+	json_object_object_add(o, "slots", json_object_new_int64(s->slots));
+	json_object_object_add(o, "draining",
+			       json_object_new_boolean(s->state != SVT_READY));
+	json_object_object_add(o, "revision",
+			       json_object_new_int64((int64_t)s->revision));
+	return o;
+}
+
+static struct json_object *servers_json(const struct svt *t)
+{
+	struct json_object *list = json_object_new_array();
+
+	for (guint i = 0; i < t->all->len; i++) {
+		const struct svt_server *s = t->all->pdata[i];
+
+		if (s->state != SVT_GONE)
+			json_object_array_add(list, server_json(s));
+	}
+	return list;
+}
+
+static uint64_t number_after(const char *path, const char *key)
+{
+	const char *at = strstr(path, key);
+
+	return at ? g_ascii_strtoull(at + strlen(key), NULL, 10) : 0;
+}
+
+/* Answers another node: what it has older than this node's. */
+void pst_serve(struct gwy *g, struct hs_req *req)
+{
+	const char *key = hs_header(req, KEY_HEADER);
+	struct json_object *o;
+
+	if (g_strcmp0(key, g->settings->cluster_key) != 0) {
+		hs_reply_json(req, 403, "{\"error\":\"wrong key\"}");
+		return;
+	}
+	o = json_object_new_object();
+	if (g->routes &&
+	    g->routes->revision > number_after(hs_path(req), "config="))
+		json_object_object_add(o, "config", json_object_get(g->doc));
+	if (g->listed[FED_SERVERS] &&
+	    g->as_of[FED_SERVERS] > number_after(hs_path(req), "servers=")) {
+		json_object_object_add(o, "servers", servers_json(&g->servers));
+		json_object_object_add(
+			o, "servers_as_of",
+			json_object_new_int64((int64_t)g->as_of[FED_SERVERS]));
+	}
+	if (g->listed[FED_ROLLOUTS] &&
+	    g->as_of[FED_ROLLOUTS] > number_after(hs_path(req), "rollouts=")) {
+		json_object_object_add(o, "rollouts",
+				       sht_orders_json(g->shifts));
+		json_object_object_add(
+			o, "rollouts_as_of",
+			json_object_new_int64((int64_t)g->as_of[FED_ROLLOUTS]));
+	}
+	hs_reply_json(
+		req, 200,
+		json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN));
+	json_object_put(o);
+}
+
+static void take_server(struct gwy *g, struct json_object *o)
+{
+	const struct svt_entry entry = {
+		.id = jsn_str(o, "id", NULL),
+		.service = jsn_str(o, "service", NULL),
+		.address = jsn_str(o, "address", NULL),
+		.zone = jsn_str(o, "zone", ""),
+		.version = jsn_str(o, "version", ""),
+		.slots = (uint32_t)jsn_int(o, "slots", 0),
+		.draining = json_object_get_boolean(jsn_get(o, "draining")),
+		.revision = (uint64_t)jsn_int(o, "revision", 0),
+	};
+
+	if (entry.id && entry.service && entry.address)
+		g->events->server(g, &entry);
+}
+
+static void take_servers(struct gwy *g, struct json_object *answer)
+{
+	struct json_object *list = jsn_get(answer, "servers");
+	uint64_t as_of = (uint64_t)jsn_int(answer, "servers_as_of", 0);
+
+	if (!list || as_of <= g->as_of[FED_SERVERS])
+		return;
+	g->events->list(g, FED_SERVERS, false);
+	for (size_t i = 0; i < jsn_len(list); i++)
+		take_server(g, json_object_array_get_idx(list, i));
+	g->events->list(g, FED_SERVERS, true);
+	gwy_take_as_of(g, FED_SERVERS, as_of);
+}
+
+static void take_rollouts(struct gwy *g, struct json_object *answer)
+{
+	struct json_object *list = jsn_get(answer, "rollouts");
+	uint64_t as_of = (uint64_t)jsn_int(answer, "rollouts_as_of", 0);
+
+	if (!list || as_of <= g->as_of[FED_ROLLOUTS])
+		return;
+	for (size_t i = 0; i < jsn_len(list); i++) {
+		struct json_object *o = json_object_array_get_idx(list, i);
+		const struct fed_rollout order = {
+			.service = jsn_str(o, "service", NULL),
+			.target = jsn_str(o, "target", NULL),
+			.over_ms = (uint32_t)jsn_int(o, "over_ms", 0),
+			.state = (enum fed_rollout_state)CLAMP(
+				jsn_int(o, "state", 0), 0, FED_REVERTED),
+			.revision = (uint64_t)jsn_int(o, "revision", 0),
+		};
+
+		if (order.service && order.target)
+			g->events->rollout(g, &order);
+	}
+	gwy_take_as_of(g, FED_ROLLOUTS, as_of);
+}
+
+static void take_answer(struct pst *t)
+{
+	struct gwy *g = t->g;
+	struct json_object *answer = json_tokener_parse(t->body->str);
+	struct json_object *config = jsn_get(answer, "config");
+	uint64_t before = g->routes ? g->routes->revision : 0;
+
+	if (config)
+		g->events->config(g, config,
+				  (uint64_t)jsn_int(config, "revision", 0));
+	take_servers(g, answer);
+	take_rollouts(g, answer);
+	if (config)
+		lge(LGE_STATE_FROM_PEER,
+		    "from=%s config_before=%" G_GUINT64_FORMAT
+		    " config=%" G_GUINT64_FORMAT,
+		    t->address, before, g->routes ? g->routes->revision : 0);
+	json_object_put(answer);
+}
+
+static void on_head(void *user, const struct hc_head *head)
+{
+	((struct pst *)user)->status = head->status;
+}
+
+static void on_data(void *user, const char *data, size_t len)
+{
+	struct pst *t = user;
+
+	if (t->body->len + len <= MAX_ANSWER_BYTES)
+		g_string_append_len(t->body, data, (gssize)len);
+}
+
+static void on_done(void *user, enum hc_end end)
+{
+	struct pst *t = user;
+
+	t->call = NULL;
+	if (end == HC_WHOLE && t->status == 200)
+		take_answer(t);
+}
+
+static const struct hc_events events = {on_head, on_data, on_done};
+
+static void ask(struct pst *t, uint64_t now, uint32_t ip)
+{
+	struct gwy *g = t->g;
+	const char *colon = strrchr(g->settings->operator_address, ':');
+	struct in_addr in = {.s_addr = htonl(ip)};
+	char text[INET_ADDRSTRLEN];
+	g_autofree char *headers = g_strdup_printf(KEY_HEADER ": %s\r\n",
+						   g->settings->cluster_key);
+	g_autofree char *path =
+		g_strdup_printf(PST_PATH "?config=%" G_GUINT64_FORMAT
+					 "&servers=%" G_GUINT64_FORMAT
+					 "&rollouts=%" G_GUINT64_FORMAT,
+				g->routes ? g->routes->revision : 0,
+				g->as_of[FED_SERVERS], g->as_of[FED_ROLLOUTS]);
+	struct hc_request req = {
+		.address = t->address,
+		.method = "GET",
+		.path = path,
+		.headers = headers,
+		.no_length = true,
+		.connect_ms = ANSWER_MS,
+		.progress_ms = ANSWER_MS,
+		.total_ms = ANSWER_MS,
+	};
+
+	if (t->call || now - t->asked_at < ASK_EVERY_MS)
+		return;
+	t->asked_at = now;
+	inet_ntop(AF_INET, &in, text, sizeof(text));
+	snprintf(t->address, sizeof(t->address), "%s%s", text, colon);
+	g_string_truncate(t->body, 0);
+	t->status = 0;
+	t->call = hc_start(g->http, &req, &events, t);
+}
+
+static bool is_lost(const struct gwy *g, uint64_t now)
+{
+	for (int i = 0; i < FED_TOPICS; i++)
+		if ((g->lost_at[i] && now - g->lost_at[i] >= LOST_FOR_MS))
+			return true;
+	return false;
+}
+
+/* While the source is away, asks one of the other nodes now and then. */
+void pst_tick(struct pst *t, uint64_t now)
+{
+	uint32_t ip;
+
+	if (!is_lost(t->g, now))
+		return;
+	ip = flt_any_ip(t->g->fleet, &t->g->rng);
+	if (ip)
+		ask(t, now, ip);
+}
+
+/*
+ * Another node has a newer configuration: its watch has told it, or this
+ * node's is deaf. Asks that node, and the source anew.
+ */
+void pst_on_newer(struct pst *t, uint64_t now, uint32_t ip)
+{
+	ask(t, now, ip);
+	if (t->g->lost_at[FED_CONFIG] || now - t->refreshed_at < ANSWER_MS * 5)
+		return;
+	t->refreshed_at = now;
+	pfd_refresh(t->g->feed, FED_CONFIG);
+}
--- a/log-event.h
+++ b/log-event.h
@@ -40,6 +40,10 @@
 	X(ATTEMPT_FAILED, 701, MESSAGE, "attempt without an answer to give")   \
 	X(REQUEST_REFUSED, 702, MESSAGE, "request refused")                    \
 	X(RETRY_DENIED, 703, MESSAGE, "no retry budget")                       \
+	X(STATE_FROM_PEER, 220, MESSAGE, "configuration from another node")    \
+	X(ROLLOUT_ORDER, 420, MESSAGE, "roll-out order")                       \
+	X(SHIFT_PLAN, 421, MESSAGE, "roll-out plan")                           \
+	X(ROLLOUT_WRITTEN, 422, MESSAGE, "roll-out's end written")             \
 	X(SERVER_CHANGED, 710, MESSAGE, "server changed state")                \
 	X(SERVERS_LISTED, 711, MESSAGE, "servers listed")
 
--- a/member/member.c
+++ b/member/member.c
@@ -481,6 +481,17 @@
 	return head;
 }
 
+/*
+ * Makes this node known at an address whose node has no name yet; its
+ * acknowledgement tells the name.
+ */
+void mbr_greet(struct mbr *m, uint64_t now, struct mbr_addr to, GArray *out)
+{
+	struct mbr_msg msg = new_message(m, now, MBR_PING, ++m->sequence);
+
+	send(out, to, &msg);
+}
+
 /* Tells some members that this node leaves; they pass it on. */
 void mbr_leave(struct mbr *m, uint64_t now, GArray *out)
 {
--- a/member/member.h
+++ b/member/member.h
@@ -134,6 +134,7 @@
 void mbr_tick(struct mbr *m, uint64_t now, GArray *out);
 struct mbr_head mbr_on_message(struct mbr *m, uint64_t now,
 			       const struct mbr_msg *msg, GArray *out);
+void mbr_greet(struct mbr *m, uint64_t now, struct mbr_addr to, GArray *out);
 void mbr_leave(struct mbr *m, uint64_t now, GArray *out);
 struct cfv_peers mbr_peers(const struct mbr *m, uint64_t now);
 uint32_t mbr_count(const struct mbr *m, enum mbr_state state);
--- /dev/null
+++ b/rollout/shift-task.c
@@ -0,0 +1,312 @@
+#include "rollout/shift-task.h"
+
+#include <string.h>
+
+#include "daemon/gateway.h"
+#include "fleet/fleet-task.h"
+#include "json-check.h"
+#include "log-event.h"
+#include "platform/feed-task.h"
+
+#define WRITE_AGAIN_MS 700
+#define NEXT_RANK_MS 1500
+
+/* An order, and what this node does about it. */
+struct order {
+	struct sht *t;
+	struct sft *shift;
+	enum fed_rollout_state state; /* as stored */
+	uint64_t revision; /* of the stored object */
+	uint64_t decided_at; /* when the plan became final; 0: not yet */
+	uint64_t write_at; /* not before */
+	bool writing;
+	uint32_t logged_share;
+};
+
+/* A write under way; the order may be gone before it ends. */
+struct writing {
+	struct sht *t;
+	char *service;
+};
+
+struct sht {
+	struct gwy *g;
+	GPtrArray *orders;
+};
+
+static void free_order(void *p)
+{
+	struct order *o = p;
+
+	sft_free(o->shift);
+	g_free(o);
+}
+
+/* Starts without an order. */
+struct sht *sht_new(struct gwy *g)
+{
+	struct sht *t = g_new0(struct sht, 1);
+
+	t->g = g;
+	t->orders = g_ptr_array_new_with_free_func(free_order);
+	return t;
+}
+
+static struct order *find(const struct sht *t, const char *service)
+{
+	for (guint i = 0; i < t->orders->len; i++) {
+		struct order *o = t->orders->pdata[i];
+
+		if (!strcmp(o->shift->service, service))
+			return o;
+	}
+	return NULL;
+}
+
+/* Returns the number of orders known. */
+uint32_t sht_count(const struct sht *t)
+{
+	return t->orders->len;
+}
+
+/* Returns the shift of the order with index i. */
+struct sft *sht_at(const struct sht *t, uint32_t i)
+{
+	return ((struct order *)t->orders->pdata[i])->shift;
+}
+
+static bool is_final(enum fed_rollout_state state)
+{
+	return state == FED_COMPLETED || state == FED_REVERTED;
+}
+
+/* Tells whether the order is not stored as ended yet. */
+bool sht_is_open(const struct sht *t, uint32_t i)
+{
+	return !is_final(((struct order *)t->orders->pdata[i])->state);
+}
+
+/* Returns the shift of a service's order, or NULL. */
+struct sft *sht_find(const struct sht *t, const char *service)
+{
+	struct order *o = find(t, service);
+
+	return o ? o->shift : NULL;
+}
+
+static enum sft_state shift_state(enum fed_rollout_state state)
+{
+	return state == FED_COMPLETED ? SFT_COMPLETED : SFT_REVERTED;
+}
+
+static void note_plan(struct order *o, uint64_t now, const char *by)
+{
+	const struct sft *s = o->shift;
+	struct sft_evidence sum;
+
+	if (o->logged_share == s->plan.share + s->plan.state)
+		return;
+	o->logged_share = s->plan.share + s->plan.state;
+	sum = sft_total(s);
+	lge(LGE_SHIFT_PLAN,
+	    "service=%s target=%s state=%s share=%.3f by=%s age_ms=%u "
+	    "over_ms=%u requests=%u sent_new=%u old_in_flight=%u why=%s",
+	    s->service, s->target, sft_state_name(s->plan.state),
+	    (double)s->plan.share / SFT_WHOLE, by, sft_age(s, now), s->over_ms,
+	    sum.requests, sum.sent_new, sum.old_in_flight,
+	    s->why ? s->why : "-");
+}
+
+/* Takes an order or its new state. */
+void sht_on_order(struct sht *t, uint64_t now, const struct fed_rollout *order)
+{
+	struct order *o = find(t, order->service);
+
+	if (o && order->revision < o->revision)
+		return;
+	if (o && strcmp(o->shift->target, order->target) != 0) {
+		g_ptr_array_remove(t->orders, o);
+		o = NULL;
+	}
+	if (!o) {
+		o = g_new0(struct order, 1);
+		o->t = t;
+		o->shift = sft_new(order->service, order->target,
+				   order->over_ms, now);
+		o->logged_share = UINT32_MAX;
+		g_ptr_array_add(t->orders, o);
+	}
+	o->state = order->state;
+	o->revision = order->revision;
+	if (is_final(order->state))
+		sft_settle(o->shift, shift_state(order->state));
+	lge(LGE_ROLLOUT_ORDER,
+	    "service=%s target=%s over_ms=%u state=%d "
+	    "revision=%" G_GUINT64_FORMAT,
+	    order->service, order->target, order->over_ms, order->state,
+	    order->revision);
+	note_plan(o, now, "store");
+}
+
+/* An order was removed: the service's servers are all alike again. */
+void sht_on_gone(struct sht *t, const char *service)
+{
+	struct order *o = find(t, service);
+
+	if (o)
+		g_ptr_array_remove(t->orders, o);
+}
+
+static void on_written(void *user, bool taken_effect, bool lost_race)
+{
+	struct writing *w = user;
+	struct order *o = find(w->t, w->service);
+
+	lge(LGE_ROLLOUT_WRITTEN, "service=%s effect=%d lost_race=%d",
+	    w->service, taken_effect, lost_race);
+	if (o) {
+		o->writing = false;
+		o->write_at = gwy_now(w->t->g) + WRITE_AGAIN_MS;
+	}
+	g_free(w->service);
+	g_free(w);
+}
+
+static void write_end(struct order *o, uint64_t now)
+{
+	struct sht *t = o->t;
+	struct writing *w = g_new0(struct writing, 1);
+	const struct fed_rollout order = {
+		.service = o->shift->service,
+		.target = o->shift->target,
+		.state = o->shift->plan.state == SFT_COMPLETED ? FED_COMPLETED
+							       : FED_REVERTED,
+		.revision = o->revision,
+	};
+
+	w->t = t;
+	w->service = g_strdup(o->shift->service);
+	o->writing = true;
+	o->write_at = now + WRITE_AGAIN_MS;
+	pfd_write_rollout(t->g->feed, &order, on_written, w);
+}
+
+/* The first in rank writes at once; each next one waits a little longer. */
+static void write_if_due(struct order *o, uint64_t now)
+{
+	uint64_t wait = NEXT_RANK_MS *
+			(uint64_t)flt_rank(o->t->g->fleet, o->shift->service);
+
+	if (!o->decided_at)
+		o->decided_at = now;
+	if (!o->writing && now >= o->write_at && now - o->decided_at >= wait)
+		write_end(o, now);
+}
+
+static uint32_t old_in_flight(const struct gwy *g, const struct sft *s)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < g->servers.all->len; i++) {
+		const struct svt_server *server = g->servers.all->pdata[i];
+
+		if (!strcmp(server->service, s->service) &&
+		    strcmp(server->version, s->target) != 0)
+			n += server->in_flight;
+	}
+	return n;
+}
+
+static void tick_order(struct order *o, uint64_t now)
+{
+	struct gwy *g = o->t->g;
+	struct sft *s = o->shift;
+	const struct sft_params p = {
+		.expose_share = g->settings->expose_share,
+		.expose_slack = g->settings->expose_slack,
+	};
+
+	if (is_final(o->state))
+		return;
+	s->own.old_in_flight = old_in_flight(g, s);
+	if (sft_check(s, now))
+		note_plan(o, now, "self");
+	if (!flt_rank(g->fleet, s->service)) {
+		sft_judge(s, now, &p,
+			  svt_count_ready(&g->servers, s->service, s->target));
+		note_plan(o, now, "judge");
+	}
+	if (s->plan.state != SFT_TRIAL)
+		write_if_due(o, now);
+}
+
+/* Does what is due for each open order. */
+void sht_tick(struct sht *t, uint64_t now)
+{
+	for (guint i = 0; i < t->orders->len; i++)
+		tick_order(t->orders->pdata[i], now);
+}
+
+static struct order *find_target(const struct sht *t, const char *service,
+				 const char *target)
+{
+	struct order *o = find(t, service);
+
+	return o && !strcmp(o->shift->target, target) ? o : NULL;
+}
+
+/* Another node told its counts. */
+void sht_on_report(struct sht *t, uint64_t now, const struct wfl_report *r)
+{
+	struct order *o = find_target(t, r->service, r->target);
+
+	if (o)
+		sft_on_report(o->shift, now, &r->report);
+}
+
+/* The node that judges told its plan. */
+void sht_on_plan(struct sht *t, uint64_t now, const struct wfl_plan *p)
+{
+	struct order *o = find_target(t, p->service, p->target);
+
+	if (!o || is_final(o->state))
+		return;
+	sft_on_plan(o->shift, now, &p->plan);
+	note_plan(o, now, p->node);
+}
+
+/* Fills in what this node reports of a shift. */
+void sht_fill_report(struct sht *t, const struct sft *s, uint64_t now,
+		     struct wfl_report *r)
+{
+	memset(r, 0, sizeof(*r));
+	g_strlcpy(r->service, s->service, sizeof(r->service));
+	g_strlcpy(r->target, s->target, sizeof(r->target));
+	g_strlcpy(r->report.node, t->g->settings->node, sizeof(r->report.node));
+	r->report.boot = t->g->boot;
+	r->report.age_ms = sft_age(s, now);
+	r->report.evidence = s->own;
+}
+
+/* Returns the orders for another node, newly allocated. */
+struct json_object *sht_orders_json(const struct sht *t)
+{
+	struct json_object *list = json_object_new_array();
+
+	for (guint i = 0; i < t->orders->len; i++) {
+		const struct order *o = t->orders->pdata[i];
+		struct json_object *j = json_object_new_object();
+
+		jsn_add_str(j, "service", o->shift->service);
+		jsn_add_str(j, "target", o->shift->target);
+		json_object_object_add(
+			j, "over_ms", json_object_new_int64(o->shift->over_ms));
+		json_object_object_add(j, "state",
+				       json_object_new_int(o->state));
+		json_object_object_add(
+			j, "revision",
+			json_object_new_int64((int64_t)o->revision));
+		json_object_array_add(list, j);
+	}
+	return list;
+}
--- a/wire/codec.c
+++ b/wire/codec.c
@@ -39,17 +39,18 @@
 	return true;
 }
 
-static bool put_call(XDR *xdrs, const struct mbr_msg *msg)
+/* Writes the header of a call of our program. */
+bool wir_put_call(XDR *xdrs, uint32_t xid, uint32_t proc)
 {
 	struct rpc_msg call;
 
 	memset(&call, 0, sizeof(call));
-	call.rm_xid = msg->sequence;
+	call.rm_xid = xid;
 	call.rm_direction = CALL;
 	call.rm_call.cb_rpcvers = RPC_MSG_VERSION;
 	call.rm_call.cb_prog = CHIVEGW_PEER;
 	call.rm_call.cb_vers = CHIVEGW_PEER_V1;
-	call.rm_call.cb_proc = (rpcproc_t)msg->kind + PEER_PING;
+	call.rm_call.cb_proc = proc;
 	call.rm_call.cb_cred.oa_flavor = AUTH_NONE;
 	call.rm_call.cb_verf.oa_flavor = AUTH_NONE;
 	return xdr_callmsg(xdrs, &call);
@@ -100,7 +101,8 @@
 		return 0;
 	xdrmem_create(&xdrs, (char *)buf, (u_int)(size - WIR_MAC_BYTES),
 		      XDR_ENCODE);
-	ok = put_call(&xdrs, msg) && put_body(&xdrs, msg);
+	ok = wir_put_call(&xdrs, msg->sequence, msg->kind + PEER_PING) &&
+	     put_body(&xdrs, msg);
 	len = xdr_getpos(&xdrs);
 	xdr_destroy(&xdrs);
 	if (!ok)
@@ -109,7 +111,8 @@
 	return len + WIR_MAC_BYTES;
 }
 
-static bool get_call(XDR *xdrs, struct mbr_msg *msg)
+/* Reads the header of a call of our program. */
+bool wir_get_call(XDR *xdrs, uint32_t *proc)
 {
 	char cred[MAX_AUTH_BYTES], verf[MAX_AUTH_BYTES];
 	struct rpc_msg call;
@@ -120,11 +123,20 @@
 	if (!xdr_callmsg(xdrs, &call) || call.rm_direction != CALL ||
 	    call.rm_call.cb_rpcvers != RPC_MSG_VERSION ||
 	    call.rm_call.cb_prog != CHIVEGW_PEER ||
-	    call.rm_call.cb_vers != CHIVEGW_PEER_V1 ||
-	    call.rm_call.cb_proc < PEER_PING ||
-	    call.rm_call.cb_proc > PEER_PING_REQ)
+	    call.rm_call.cb_vers != CHIVEGW_PEER_V1)
 		return false;
-	msg->kind = (enum mbr_kind)(call.rm_call.cb_proc - PEER_PING);
+	*proc = call.rm_call.cb_proc;
+	return true;
+}
+
+static bool get_kind(XDR *xdrs, struct mbr_msg *msg)
+{
+	uint32_t proc;
+
+	if (!wir_get_call(xdrs, &proc) || proc < PEER_PING ||
+	    proc > PEER_PING_REQ)
+		return false;
+	msg->kind = (enum mbr_kind)(proc - PEER_PING);
 	return true;
 }
 
@@ -152,6 +164,19 @@
 	return ok;
 }
 
+/* Checks the length and the HMAC of a message. */
+enum wir_fault wir_check(const uint8_t *buf, size_t len, const char *key)
+{
+	uint8_t mac[WIR_MAC_BYTES];
+
+	if (len <= WIR_MAC_BYTES || len > WIR_MAX_BYTES)
+		return WIR_TOO_SHORT;
+	len -= WIR_MAC_BYTES;
+	mac_of(buf, len, key, mac);
+	return CRYPTO_memcmp(mac, buf + len, WIR_MAC_BYTES) == 0 ? WIR_OK
+								 : WIR_BAD_MAC;
+}
+
 /*
  * Reads a message. Bytes whose HMAC does not match are looked into no
  * further.
@@ -159,19 +184,15 @@
 enum wir_fault wir_decode(const uint8_t *buf, size_t len, const char *key,
 			  struct mbr_msg *msg)
 {
-	uint8_t mac[WIR_MAC_BYTES];
-	enum wir_fault fault = WIR_OK;
+	enum wir_fault fault = wir_check(buf, len, key);
 	XDR xdrs;
 
 	memset(msg, 0, sizeof(*msg));
-	if (len <= WIR_MAC_BYTES || len > WIR_MAX_BYTES)
-		return WIR_TOO_SHORT;
-	len -= WIR_MAC_BYTES;
-	mac_of(buf, len, key, mac);
-	if (CRYPTO_memcmp(mac, buf + len, WIR_MAC_BYTES) != 0)
-		return WIR_BAD_MAC;
-	xdrmem_create(&xdrs, (char *)buf, (u_int)len, XDR_DECODE);
-	if (!get_call(&xdrs, msg))
+	if (fault != WIR_OK)
+		return fault;
+	xdrmem_create(&xdrs, (char *)buf, (u_int)(len - WIR_MAC_BYTES),
+		      XDR_DECODE);
+	if (!get_kind(&xdrs, msg))
 		fault = WIR_BAD_HEADER;
 	else if (!get_body(&xdrs, msg))
 		fault = WIR_BAD_BODY;
--- a/wire/codec.h
+++ b/wire/codec.h
@@ -3,6 +3,7 @@
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <rpc/rpc.h>
 #include <stdint.h>
 
 #include "member/member.h"
@@ -25,6 +26,9 @@
 size_t wir_encode(const struct mbr_msg *msg, const char *key, uint8_t *buf,
 		  size_t size);
 void wir_seal(uint8_t *buf, size_t len, const char *key);
+bool wir_put_call(XDR *xdrs, uint32_t xid, uint32_t proc);
+bool wir_get_call(XDR *xdrs, uint32_t *proc);
+enum wir_fault wir_check(const uint8_t *buf, size_t len, const char *key);
 enum wir_fault wir_decode(const uint8_t *buf, size_t len, const char *key,
 			  struct mbr_msg *msg);
 const char *wir_fault_name(enum wir_fault fault);
--- /dev/null
+++ b/wire/fleet-codec.c
@@ -0,0 +1,165 @@
+#include "wire/fleet-codec.h"
+
+#include <glib.h>
+#include <rpc/rpc.h>
+#include <string.h>
+
+#include "wire/fleet.h"
+#include "wire/peer.h"
+
+#define PROC_REPORT 4
+#define PROC_PLAN 5
+#define PROC_OFFSET 20 /* of the procedure in an ONC RPC call */
+
+/* Tells which kind of message the bytes hold; they are not checked. */
+enum wfl_kind wfl_kind_of(const uint8_t *buf, size_t len)
+{
+	if (len < PROC_OFFSET + 4)
+		return WFL_OTHER;
+	switch (buf[PROC_OFFSET + 3]) {
+	case PROC_REPORT:
+		return WFL_REPORT;
+	case PROC_PLAN:
+		return WFL_PLAN;
+	default:
+		return WFL_OTHER;
+	}
+}
+
+static size_t put(uint32_t proc, xdrproc_t body, void *value, const char *key,
+		  uint8_t *buf, size_t size)
+{
+	XDR xdrs;
+	size_t len;
+	bool ok;
+
+	if (size < WIR_MAC_BYTES)
+		return 0;
+	xdrmem_create(&xdrs, (char *)buf, (u_int)(size - WIR_MAC_BYTES),
+		      XDR_ENCODE);
+	ok = wir_put_call(&xdrs, 0, proc) && body(&xdrs, value);
+	len = xdr_getpos(&xdrs);
+	xdr_destroy(&xdrs);
+	if (!ok)
+		return 0;
+	wir_seal(buf, len, key);
+	return len + WIR_MAC_BYTES;
+}
+
+static enum wir_fault get(uint32_t proc, xdrproc_t body, void *value,
+			  const char *key, const uint8_t *buf, size_t len)
+{
+	enum wir_fault fault = wir_check(buf, len, key);
+	uint32_t found;
+	XDR xdrs;
+
+	if (fault != WIR_OK)
+		return fault;
+	xdrmem_create(&xdrs, (char *)buf, (u_int)(len - WIR_MAC_BYTES),
+		      XDR_DECODE);
+	if (!wir_get_call(&xdrs, &found) || found != proc)
+		fault = WIR_BAD_HEADER;
+	else if (!body(&xdrs, value))
+		fault = WIR_BAD_BODY;
+	xdr_destroy(&xdrs);
+	return fault;
+}
+
+/* Writes a report; returns its length, or 0 if it does not fit. */
+size_t wfl_put_report(const struct wfl_report *r, const char *key, uint8_t *buf,
+		      size_t size)
+{
+	const struct sft_evidence *e = &r->report.evidence;
+	struct fleet_cell cells[SFT_MAX_ROUTES];
+	struct fleet_report w = {
+		.node = (char *)r->report.node,
+		.boot = r->report.boot,
+		.service = (char *)r->service,
+		.target = (char *)r->target,
+		.age_ms = r->report.age_ms,
+		.requests = e->requests,
+		.sent_new = e->sent_new,
+		.old_in_flight = e->old_in_flight,
+		.cells = {.cells_len = e->n_cells, .cells_val = cells},
+	};
+
+	for (uint32_t i = 0; i < e->n_cells; i++) {
+		cells[i].route = e->cells[i].route;
+		memcpy(cells[i].count, e->cells[i].count,
+		       sizeof(cells[i].count));
+	}
+	return put(PROC_REPORT, (xdrproc_t)xdr_fleet_report, &w, key, buf,
+		   size);
+}
+
+/* Writes a plan; returns its length, or 0 if it does not fit. */
+size_t wfl_put_plan(const struct wfl_plan *p, const char *key, uint8_t *buf,
+		    size_t size)
+{
+	struct fleet_plan w = {
+		.node = (char *)p->node,
+		.service = (char *)p->service,
+		.target = (char *)p->target,
+		.age_ms = p->plan.age_ms,
+		.share = p->plan.share,
+		.state = p->plan.state,
+	};
+
+	return put(PROC_PLAN, (xdrproc_t)xdr_fleet_plan, &w, key, buf, size);
+}
+
+/* Reads a report. */
+enum wir_fault wfl_get_report(const uint8_t *buf, size_t len, const char *key,
+			      struct wfl_report *r)
+{
+	struct fleet_report w;
+	struct sft_evidence *e = &r->report.evidence;
+	enum wir_fault fault;
+
+	memset(&w, 0, sizeof(w));
+	memset(r, 0, sizeof(*r));
+	fault = get(PROC_REPORT, (xdrproc_t)xdr_fleet_report, &w, key, buf,
+		    len);
+	if (fault == WIR_OK) {
+		g_strlcpy(r->report.node, w.node, sizeof(r->report.node));
+		g_strlcpy(r->service, w.service, sizeof(r->service));
+		g_strlcpy(r->target, w.target, sizeof(r->target));
+		r->report.boot = w.boot;
+		r->report.age_ms = w.age_ms;
+		e->requests = w.requests;
+		e->sent_new = w.sent_new;
+		e->old_in_flight = w.old_in_flight;
+		e->n_cells = MIN(w.cells.cells_len, SFT_MAX_ROUTES);
+		for (uint32_t i = 0; i < e->n_cells; i++) {
+			e->cells[i].route = w.cells.cells_val[i].route;
+			memcpy(e->cells[i].count, w.cells.cells_val[i].count,
+			       sizeof(e->cells[i].count));
+		}
+	}
+	xdr_free((xdrproc_t)xdr_fleet_report, (char *)&w);
+	return fault;
+}
+
+/* Reads a plan. */
+enum wir_fault wfl_get_plan(const uint8_t *buf, size_t len, const char *key,
+			    struct wfl_plan *p)
+{
+	struct fleet_plan w;
+	enum wir_fault fault;
+
+	memset(&w, 0, sizeof(w));
+	memset(p, 0, sizeof(*p));
+	fault = get(PROC_PLAN, (xdrproc_t)xdr_fleet_plan, &w, key, buf, len);
+	if (fault == WIR_OK && (w.state > SFT_COMPLETED || w.share > SFT_WHOLE))
+		fault = WIR_BAD_BODY;
+	if (fault == WIR_OK) {
+		g_strlcpy(p->node, w.node, sizeof(p->node));
+		g_strlcpy(p->service, w.service, sizeof(p->service));
+		g_strlcpy(p->target, w.target, sizeof(p->target));
+		p->plan.age_ms = w.age_ms;
+		p->plan.share = w.share;
+		p->plan.state = (enum sft_state)w.state;
+	}
+	xdr_free((xdrproc_t)xdr_fleet_plan, (char *)&w);
+	return fault;
+}
--- /dev/null
+++ b/wire/fleet-codec.h
@@ -0,0 +1,41 @@
+#ifndef WIRE_FLEET_CODEC_H
+#define WIRE_FLEET_CODEC_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "rollout/shift.h"
+#include "wire/codec.h"
+
+/* Reports and plans of roll-outs as bytes, sealed as members' messages are. */
+enum wfl_kind {
+	WFL_OTHER, /* a message of the membership */
+	WFL_REPORT,
+	WFL_PLAN,
+};
+
+struct wfl_report {
+	char service[SFT_NAME_MAX];
+	char target[SFT_NAME_MAX];
+	struct sft_report report;
+};
+
+struct wfl_plan {
+	char node[SFT_NAME_MAX];
+	char service[SFT_NAME_MAX];
+	char target[SFT_NAME_MAX];
+	struct sft_plan plan;
+};
+
+enum wfl_kind wfl_kind_of(const uint8_t *buf, size_t len);
+size_t wfl_put_report(const struct wfl_report *r, const char *key, uint8_t *buf,
+		      size_t size);
+size_t wfl_put_plan(const struct wfl_plan *p, const char *key, uint8_t *buf,
+		    size_t size);
+enum wir_fault wfl_get_report(const uint8_t *buf, size_t len, const char *key,
+			      struct wfl_report *r);
+enum wir_fault wfl_get_plan(const uint8_t *buf, size_t len, const char *key,
+			    struct wfl_plan *p);
+
+#endif
--- /dev/null
+++ b/wire/fleet.x
@@ -0,0 +1,35 @@
+/*
+ * What nodes tell each other during a roll-out, as calls of the ONC RPC
+ * program of peer.x over UDP: each node reports its counts to the nodes that
+ * judge, and these tell the plan. Nothing is answered.
+ */
+
+const FLEET_NAME_MAX = 127;
+const FLEET_ROUTES_MAX = 12;
+const FLEET_CELLS = 8;
+
+struct fleet_cell {
+	unsigned hyper route;
+	unsigned int count[FLEET_CELLS];
+};
+
+struct fleet_report {
+	string node<FLEET_NAME_MAX>;
+	unsigned hyper boot;
+	string service<FLEET_NAME_MAX>;
+	string target<FLEET_NAME_MAX>;
+	unsigned int age_ms;
+	unsigned int requests;
+	unsigned int sent_new;
+	unsigned int old_in_flight;
+	fleet_cell cells<FLEET_ROUTES_MAX>;
+};
+
+struct fleet_plan {
+	string node<FLEET_NAME_MAX>;
+	string service<FLEET_NAME_MAX>;
+	string target<FLEET_NAME_MAX>;
+	unsigned int age_ms;
+	unsigned int share;
+	unsigned int state;
+};
