exchange: count the retry budget over a window, wait longer for streams

Cause: half of the escalations were denied: the token bucket's cap (burst over nodes, 2 to 3 tokens) threw away what bursts of requests had earned. Streams were given up after 700 ms of silence and read in again elsewhere, which made an overloaded fleet slower still (502 and cut answers). Ruled out: confidence as a poor guide (with the budget mended, drafts at a target of 0.9 earn as much as on the largest model alone). Change: requests and retries are counted in a ring over the rule's window; the gap limit is 2.5 pauses, the first event has 1.25 objectives.

--- a/daemon/gateway.c
+++ b/daemon/gateway.c
@@ -240,6 +240,7 @@
 		.ratio = g->settings->retry_ratio,
 		.burst = g->settings->retry_burst,
 		.nodes = (uint32_t)g->settings->fleet_nodes,
+		.window_ms = (uint32_t)(1000 * g->settings->retry_window_s),
 	};
 
 	bud_set(&g->budget, &p);
@@ -395,7 +396,7 @@
 int gwy_run(struct set *settings, const char *path)
 {
 	struct gwy *g = &gateway;
-	const struct bud_params none = {0, 0, 1};
+	const struct bud_params none = {0, 0, 1, 1000};
 	GError *err = NULL;
 
 	signal(SIGPIPE, SIG_IGN);
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -74,6 +74,8 @@
 	     "retries for each request that the fleet may send"),
 	REAL(retry_burst, 0, 1000000,
 	     "retries beyond that within a window, of the fleet"),
+	REAL(retry_window_s, 0.1, 3600,
+	     "window of the retry budget"),
 	REAL(expose_share, 0, 1,
 	     "share of a service's requests that a version on trial may get"),
 	REAL(expose_slack, 0, 1000000, "requests beyond that share"),
@@ -108,6 +110,7 @@
 	s->fleet_nodes = 16;
 	s->retry_ratio = 0.5;
 	s->retry_burst = 50;
+	s->retry_window_s = 10;
 	s->expose_share = 0.1;
 	s->expose_slack = 20;
 	s->session_s = 10;
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -41,6 +41,7 @@
 	int64_t fleet_nodes;
 	double retry_ratio;
 	double retry_burst;
+	double retry_window_s;
 	double expose_share;
 	double expose_slack;
 	double session_s;
--- a/exchange/budget.c
+++ b/exchange/budget.c
@@ -3,64 +3,93 @@
 #include <string.h>
 
 /*
- * Part of the allowed ratio and burst that is used: a service's requests are
- * counted where they end, and the bound counts them where they began.
+ * Part of the allowed ratio and burst that is used: requests are counted here
+ * when they arrive, retries at the servers a little later.
  */
-#define USED_SHARE 0.7
+#define USED_SHARE 0.88
+#define SLOTS 20
 
-/* Starts with a full burst for each service. */
+/* Counts of the last window, in a ring of equal spans. */
+struct bud_service {
+	uint32_t requests[SLOTS];
+	uint32_t retries[SLOTS];
+	uint64_t slot; /* number of the current span since the clock's start */
+};
+
+/* Starts with nothing counted. */
 void bud_init(struct bud *b, const struct bud_params *params)
 {
 	b->params = *params;
-	b->tokens =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	b->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					    g_free);
 }
 
 /* Frees what the budget holds. */
 void bud_clear(struct bud *b)
 {
-	g_hash_table_unref(b->tokens);
+	g_hash_table_unref(b->services);
 }
 
-/* Puts other bounds in force; what was spent stays spent. */
+/* Puts other bounds in force; what was counted stays. */
 void bud_set(struct bud *b, const struct bud_params *params)
 {
 	b->params = *params;
 }
 
-static double cap_of(const struct bud *b)
+static struct bud_service *service_at(struct bud *b, uint64_t now,
+				      const char *name)
 {
-	return USED_SHARE * b->params.burst / MAX(b->params.nodes, 1);
+	struct bud_service *s = g_hash_table_lookup(b->services, name);
+	uint64_t slot = now / MAX(b->params.window_ms / SLOTS, 1);
+
+	if (!s) {
+		s = g_new0(struct bud_service, 1);
+		s->slot = slot;
+		g_hash_table_insert(b->services, g_strdup(name), s);
+	}
+	if (slot - s->slot >= SLOTS) {
+		memset(s->requests, 0, sizeof(s->requests));
+		memset(s->retries, 0, sizeof(s->retries));
+		s->slot = slot;
+	}
+	while (s->slot < slot) {
+		s->slot++;
+		s->requests[s->slot % SLOTS] = 0;
+		s->retries[s->slot % SLOTS] = 0;
+	}
+	return s;
 }
 
-static double *tokens_of(struct bud *b, const char *service)
+/* A request for the service arrived at this node. */
+void bud_on_request(struct bud *b, uint64_t now, const char *service)
 {
-	double *t = g_hash_table_lookup(b->tokens, service);
+	struct bud_service *s = service_at(b, now, service);
 
-	if (t)
-		return t;
-	t = g_new0(double, 1);
-	*t = cap_of(b);
-	g_hash_table_insert(b->tokens, g_strdup(service), t);
-	return t;
+	s->requests[s->slot % SLOTS]++;
 }
 
-/* A request for the service arrived at this node. */
-void bud_on_request(struct bud *b, const char *service)
+/* Returns how many retries the budget still allows now. */
+double bud_left(struct bud *b, uint64_t now, const char *service)
 {
-	double *t = tokens_of(b, service);
+	const struct bud_service *s = service_at(b, now, service);
+	double requests = 0, retries = 0;
 
-	*t = MIN(*t + USED_SHARE * b->params.ratio,
-		 MAX(cap_of(b), USED_SHARE * b->params.ratio));
+	for (int i = 0; i < SLOTS; i++) {
+		requests += s->requests[i];
+		retries += s->retries[i];
+	}
+	return USED_SHARE * (b->params.ratio * requests +
+			     b->params.burst / MAX(b->params.nodes, 1)) -
+	       retries;
 }
 
 /* Takes one retry from the budget; false if it is spent. */
-bool bud_take(struct bud *b, const char *service)
+bool bud_take(struct bud *b, uint64_t now, const char *service)
 {
-	double *t = tokens_of(b, service);
+	struct bud_service *s = service_at(b, now, service);
 
-	if (*t < 1)
+	if (bud_left(b, now, service) < 1)
 		return false;
-	*t -= 1;
+	s->retries[s->slot % SLOTS]++;
 	return true;
 }
--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -308,7 +308,7 @@
 	enum rty_step step = rty_after(&x->retry, &x->answer, &s);
 
 	if (step == RTY_AGAIN && x->answer.result != RTY_UNSENT &&
-	    x->answer.result != RTY_WEAK && !bud_take(&g->budget, x->service)) {
+	    x->answer.result != RTY_WEAK && !bud_take(&g->budget, gwy_now(g), x->service)) {
 		lge(LGE_RETRY_DENIED, "request=%s service=%s", x->id,
 		    x->service);
 		step = rty_without_budget(&x->retry, &x->answer, &s);
@@ -390,7 +390,7 @@
 			 htm_find(fields, g->names->confidence)))
 		return false;
 	if (!rty_may_repeat_now(&x->retry, &s) ||
-	    !bud_take(&g->budget, x->service))
+	    !bud_take(&g->budget, gwy_now(g), x->service))
 		return false;
 	x->model_index = x->route->n_models - 1;
 	x->model = x->route->models[x->model_index];
@@ -789,7 +789,7 @@
 
 	x->service = g->routes->services[service].name;
 	choose_model(x);
-	bud_on_request(&g->budget, x->service);
+	bud_on_request(&g->budget, gwy_now(g), x->service);
 	if (sht_find(g->shifts, x->service))
 		sft_on_request(sht_find(g->shifts, x->service));
 	hs_watch_gone(req, on_gone, x);
--- a/exchange/retry.c
+++ b/exchange/retry.c
@@ -6,11 +6,11 @@
 #define RETRY_MIN_LEFT_MS 20
 #define PLAIN_FACTOR 3
 #define PLAIN_MIN_MS 250
-#define FIRST_EVENT_SHARE 0.75
+#define FIRST_EVENT_SHARE 1.25
 #define FIRST_EVENT_MIN_MS 800
 #define TOKENS_PER_MS 20
-#define GAP_SHARE 0.7
-#define GAP_MIN_MS 300
+#define GAP_SHARE 2.5
+#define GAP_MIN_MS 500
 #define RETRY_AFTER_MS 150
 
 static const char *const result_names[] = {"good",   "refused", "misdirected",
