rollout: tell drawn sessions to all nodes; refuse late requests of a drain; pass unframed answers on unframed

Change: the trial starts a session time after the order, and meanwhile the sessions that it will draw are told to all nodes; requests that cannot end before the exit get 503; an answer without a length is passed on without.

--- a/daemon/gateway.c
+++ b/daemon/gateway.c
@@ -26,6 +26,7 @@
 #define LEAST_DRAIN_MS 2600
 #define FIRST_BODY_BYTES (4 * 1024 * 1024)
 #define FIRST_HEAD_MS 5000
+#define SESSION_SLACK_MS 1000
 
 static struct gwy gateway;
 static uv_signal_t on_term, on_int, on_hup;
@@ -411,7 +412,8 @@
 	svt_init(&g->servers);
 	bud_init(&g->budget, &none);
 	apply_settings(g);
-	rcs_init(&g->recent, (uint64_t)(1000 * settings->session_s));
+	rcs_init(&g->recent,
+		 (uint64_t)(1000 * settings->session_s) + SESSION_SLACK_MS);
 	g->shifts = sht_new(g);
 	g->state = pst_new(g);
 	g->fleet = flt_start(g, &err);
--- a/exchange/budget.c
+++ b/exchange/budget.c
@@ -20,8 +20,8 @@
 void bud_init(struct bud *b, const struct bud_params *params)
 {
 	b->params = *params;
-	b->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					    g_free);
+	b->services =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
 /* Frees what the budget holds. */
--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -20,6 +20,7 @@
 #define KEPT_IDLE_MS 3000
 #define KEPT_IDLE_ONCE_MS 400
 #define LATE_STREAM_MS 2500
+#define LATE_PLAIN_MS 1300 /* before the end of the time of grace */
 #define MIN_LEFT_MS 5
 
 /* One request of a client, from its arrival to its final answer. */
@@ -50,6 +51,7 @@
 	struct htm_fields head;
 	GString *body;
 	bool streamed; /* the answer is a stream of events */
+	bool unframed; /* it ends with its connection */
 	enum evs_fault fault;
 	double head_ms;
 	bool sent_by_shift; /* a roll-out of the service runs */
@@ -57,10 +59,12 @@
 	uint64_t attempt_events;
 	uint64_t first_event_at;
 	uint64_t last_event_at;
+	const char *server_version; /* of the last attempt, interned */
 
 	/* what the client has of the answer */
 	struct evs events;
 	bool begun;
+	bool begun_unframed;
 	char *first_server;
 	double first_ms; /* to the first event */
 
@@ -68,6 +72,7 @@
 	int spare_status;
 	struct htm_fields spare_head;
 	GString *spare_body;
+	bool spare_unframed;
 };
 
 static void attempt(struct exc *x);
@@ -109,15 +114,17 @@
 
 	lge(LGE_REQUEST_ENDED,
 	    "request=%s route=%s kind=%s org=%s service=%s server=%s model=%s "
-	    "status=%d outcome=%s attempts=%u verdict=%s first_ms=%.0f "
+	    "version=%s session=%016" G_GINT64_MODIFIER
+	    "x status=%d outcome=%s attempts=%u verdict=%s first_ms=%.0f "
 	    "ms=%" G_GUINT64_FORMAT " events=%" G_GUINT64_FORMAT
 	    " config=%" G_GUINT64_FORMAT " servers=%" G_GUINT64_FORMAT "",
 	    x->id, x->route->name, rts_kind_name(x->route->kind),
 	    x->org ? x->org : "-", x->service,
 	    x->first_server ? x->first_server : "-", x->model ? x->model : "-",
-	    status, outcome, x->retry.sent, vd_name(x->retry.verdict),
-	    x->first_ms, now - x->started_at, x->events.count,
-	    x->routes->revision, x->g->as_of[FED_SERVERS]);
+	    x->server_version ? x->server_version : "-", x->session, status,
+	    outcome, x->retry.sent, vd_name(x->retry.verdict), x->first_ms,
+	    now - x->started_at, x->events.count, x->routes->revision,
+	    x->g->as_of[FED_SERVERS]);
 }
 
 static void refuse(struct gwy *g, struct hs_req *req, int status,
@@ -172,12 +179,14 @@
 }
 
 static void give_whole(struct exc *x, int status, const struct htm_fields *head,
-		       const GString *body)
+		       const GString *body, bool unframed)
 {
 	log_end(x, status, status < 400 ? "answered" : "server-failed");
 	ctr_add(&x->g->ctr, CTR_ANSWERED, 1);
 	if (x->req) {
 		add_answer_headers(x, head);
+		if (unframed)
+			hs_leave_unframed(x->req);
 		hs_reply(x->req, status, NULL, body->str, body->len);
 	}
 	end_exchange(x);
@@ -191,6 +200,9 @@
 	x->first_ms = (double)(gwy_now(x->g) - x->started_at);
 	x->first_server = g_strdup(x->server->id);
 	add_answer_headers(x, &x->head);
+	if (x->unframed)
+		hs_leave_unframed(x->req);
+	x->begun_unframed = x->unframed;
 	hs_begin(x->req, x->answer.status);
 }
 
@@ -218,6 +230,7 @@
 	GString *body = x->spare_body;
 
 	x->spare_status = x->answer.status;
+	x->spare_unframed = x->unframed;
 	htm_fields_copy(&x->spare_head, &x->head);
 	x->spare_body = x->body;
 	x->body = body;
@@ -242,11 +255,6 @@
 	return SVT_NEUTRAL;
 }
 
-static uint64_t version_hash(const struct svt_server *s)
-{
-	return XXH3_64bits(s->version, strlen(s->version));
-}
-
 /* Tells a roll-out of the service how the attempt went. */
 static void add_evidence(struct exc *x)
 {
@@ -274,8 +282,8 @@
 
 	add_evidence(x);
 	if (x->route->kind == RTS_STREAMING)
-		rcs_note(&x->g->recent, gwy_now(x->g), x->session,
-			 version_hash(x->server));
+		sht_note_session(x->g->shifts, gwy_now(x->g), x->service,
+				 x->session, x->server->version);
 	if (outcome == SVT_SILENT && gwy_now(x->g) >= x->deadline)
 		outcome = SVT_NEUTRAL;
 	svt_on_end(&x->g->servers, x->server, gwy_now(x->g), outcome,
@@ -308,7 +316,8 @@
 	enum rty_step step = rty_after(&x->retry, &x->answer, &s);
 
 	if (step == RTY_AGAIN && x->answer.result != RTY_UNSENT &&
-	    x->answer.result != RTY_WEAK && !bud_take(&g->budget, gwy_now(g), x->service)) {
+	    x->answer.result != RTY_WEAK &&
+	    !bud_take(&g->budget, gwy_now(g), x->service)) {
 		lge(LGE_RETRY_DENIED, "request=%s service=%s", x->id,
 		    x->service);
 		step = rty_without_budget(&x->retry, &x->answer, &s);
@@ -319,10 +328,11 @@
 	x->server = NULL;
 	switch (step) {
 	case RTY_DELIVER:
-		give_whole(x, x->answer.status, &x->head, x->body);
+		give_whole(x, x->answer.status, &x->head, x->body, x->unframed);
 		return;
 	case RTY_DELIVER_SPARE:
-		give_whole(x, x->spare_status, &x->spare_head, x->spare_body);
+		give_whole(x, x->spare_status, &x->spare_head, x->spare_body,
+			   x->spare_unframed);
 		return;
 	case RTY_AGAIN:
 		if (x->answer.result == RTY_GOOD)
@@ -354,7 +364,8 @@
 	rty_on_end(&x->answer, end == HC_WHOLE, end == HC_NOT_SENT,
 		   !x->req && end == HC_CANCELLED);
 	if (x->answer.result == RTY_GOOD && x->streamed &&
-	    (x->events.mid_event || x->fault != EVS_OK))
+	    (x->events.mid_event || x->fault != EVS_OK ||
+	     (x->unframed && x->begun && !x->begun_unframed)))
 		x->answer.result = RTY_BROKEN;
 	settle_server(x, end);
 	if (x->answer.result == RTY_GOOD && x->streamed) {
@@ -420,6 +431,7 @@
 		hc_cancel(x->call);
 		return;
 	}
+	x->unframed = !head->framed;
 	x->streamed = head->status == 200 && type &&
 		      g_str_has_prefix(type, "text/event-stream");
 	if (x->streamed && drop_for_larger(x, head->fields)) {
@@ -582,8 +594,7 @@
 
 	if (!was)
 		return SFT_UNSEEN;
-	return was == XXH3_64bits(s->target, strlen(s->target)) ? SFT_SEEN_NEW
-								: SFT_SEEN_OLD;
+	return was == sht_version_hash(s->target) ? SFT_SEEN_NEW : SFT_SEEN_OLD;
 }
 
 /* Chooses between old and new servers while a roll-out is known. */
@@ -656,7 +667,7 @@
 			break_off(x, "no-server");
 		else if (x->spare_status)
 			give_whole(x, x->spare_status, &x->spare_head,
-				   x->spare_body);
+				   x->spare_body, x->spare_unframed);
 		else
 			give_refusal(x, &r);
 		return;
@@ -671,11 +682,12 @@
 	x->head_ms = 0;
 	x->attempt_events = 0;
 	svt_on_start(x->server);
+	x->server_version = g_intern_string(x->server->version);
 	if (x->sent_by_shift && sht_find(x->g->shifts, x->service))
 		sft_on_sent(sht_find(x->g->shifts, x->service), x->version);
 	if (x->route->kind == RTS_STREAMING)
-		rcs_note(&x->g->recent, now, x->session,
-			 version_hash(x->server));
+		sht_note_session(x->g->shifts, now, x->service, x->session,
+				 x->server->version);
 	call_server(x, now);
 }
 
@@ -796,6 +808,18 @@
 	attempt(x);
 }
 
+/* Tells whether the node stops too soon for a request of the route. */
+static bool is_too_late(struct gwy *g, const struct rts_route *route)
+{
+	uint64_t passed = gwy_now(g) - g->drain_at;
+	uint64_t grace = (uint64_t)(1000 * g->settings->grace_s);
+
+	if (!g->draining)
+		return false;
+	return passed + LATE_PLAIN_MS > grace ||
+	       (route->kind == RTS_STREAMING && passed > LATE_STREAM_MS);
+}
+
 /* Takes a request of a client; it ends by itself. */
 void exc_on_request(void *gateway, struct hs_req *req)
 {
@@ -827,8 +851,7 @@
 		refuse_early(g, req, 400, "no-request-id", 0);
 		return;
 	}
-	if (g->draining && route->kind == RTS_STREAMING &&
-	    gwy_now(g) - g->drain_at > LATE_STREAM_MS) {
+	if (is_too_late(g, route)) {
 		refuse_early(g, req, 503, "draining", 100);
 		return;
 	}
--- a/fleet/fleet-task.c
+++ b/fleet/fleet-task.c
@@ -238,6 +238,29 @@
 	}
 }
 
+static void tell_sessions(struct flt *t)
+{
+	const GArray *members = t->members.members;
+	struct wfl_sessions s;
+
+	for (uint32_t i = 0; i < sht_count(t->g->shifts); i++) {
+		uint8_t bytes[WIR_MAX_BYTES];
+		size_t len;
+
+		if (!sht_take_sessions(t->g->shifts, i, &s))
+			continue;
+		len = wfl_put_sessions(&s, t->g->settings->cluster_key, bytes,
+				       sizeof(bytes));
+		for (guint k = 0; k < members->len; k++) {
+			const struct mbr_member *m =
+				&g_array_index(members, struct mbr_member, k);
+
+			if (is_live(m))
+				send_bytes(t, m->is.addr, bytes, len);
+		}
+	}
+}
+
 /* Does what is due; call it every MBR_ACK_MS / 2. */
 void flt_tick(struct flt *t, uint64_t now)
 {
@@ -248,6 +271,7 @@
 	send_all(t, out);
 	join(t, now);
 	tell_shifts(t, now);
+	tell_sessions(t);
 	note_changes(t);
 }
 
@@ -301,6 +325,17 @@
 		sht_on_plan(t->g->shifts, gwy_now(t->g), &p);
 }
 
+static void on_sessions(struct flt *t, const uint8_t *bytes, size_t len)
+{
+	struct wfl_sessions s;
+
+	if (wfl_get_sessions(bytes, len, t->g->settings->cluster_key, &s) !=
+	    WIR_OK)
+		ctr_add(&t->g->ctr, CTR_PEER_BAD, 1);
+	else
+		sht_on_sessions(t->g->shifts, gwy_now(t->g), &s);
+}
+
 static void on_receive(uv_udp_t *socket, ssize_t len, const uv_buf_t *buf,
 		       const struct sockaddr *from, unsigned int flags)
 {
@@ -320,6 +355,9 @@
 	case WFL_PLAN:
 		on_plan(t, bytes, (size_t)len);
 		break;
+	case WFL_SESSIONS:
+		on_sessions(t, bytes, (size_t)len);
+		break;
 	}
 }
 
--- a/http/server.c
+++ b/http/server.c
@@ -47,6 +47,7 @@
 	bool keep_alive;
 	bool begun;
 	bool chunked;
+	bool unframed;
 	bool ended;
 	hs_on_gone on_gone;
 	void *gone_user;
@@ -751,7 +752,9 @@
 	g_string_append_printf(out, "HTTP/1.1 %d %s\r\n", status,
 			       reason_of(status));
 	g_string_append_len(out, r->headers->str, (gssize)r->headers->len);
-	if (length >= 0) {
+	if (r->unframed) {
+		r->keep_alive = false;
+	} else if (length >= 0) {
 		if (status != 204)
 			g_string_append_printf(
 				out, "Content-Length: %" G_GINT64_FORMAT "\r\n",
@@ -835,6 +838,15 @@
 	req->keep_alive = false;
 }
 
+/*
+ * The response gets no length: it ends with its connection, so that the client
+ * knows as little of its end as we do.
+ */
+void hs_leave_unframed(struct hs_req *req)
+{
+	req->unframed = true;
+}
+
 /* Returns how many bytes wait for the client to take them. */
 size_t hs_unsent(const struct hs_req *req)
 {
--- a/rollout/shift-task.c
+++ b/rollout/shift-task.c
@@ -1,6 +1,7 @@
 #include "rollout/shift-task.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #include "daemon/gateway.h"
 #include "fleet/fleet-task.h"
@@ -21,6 +22,7 @@
 	uint64_t write_at; /* not before */
 	bool writing;
 	uint32_t logged_share;
+	struct wfl_sessions told; /* sessions to tell the other nodes */
 };
 
 /* A write under way; the order may be gone before it ends. */
@@ -42,6 +44,12 @@
 	g_free(o);
 }
 
+/* Returns the hash by which a session's version is remembered. */
+uint64_t sht_version_hash(const char *version)
+{
+	return XXH3_64bits(version, strlen(version));
+}
+
 /* Starts without an order. */
 struct sht *sht_new(struct gwy *g)
 {
@@ -117,6 +125,11 @@
 	    s->why ? s->why : "-");
 }
 
+static uint32_t session_ms(const struct sht *t)
+{
+	return (uint32_t)(1000 * t->g->settings->session_s);
+}
+
 /* Takes an order or its new state. */
 void sht_on_order(struct sht *t, uint64_t now, const struct fed_rollout *order)
 {
@@ -132,7 +145,7 @@
 		o = g_new0(struct order, 1);
 		o->t = t;
 		o->shift = sft_new(order->service, order->target,
-				   order->over_ms, now);
+				   order->over_ms, session_ms(t), now);
 		o->logged_share = UINT32_MAX;
 		g_ptr_array_add(t->orders, o);
 	}
@@ -264,6 +277,58 @@
 		sft_on_report(o->shift, now, &r->report);
 }
 
+/*
+ * A request of the session runs on that version, or ended there: remembered
+ * here and, if it matters to them, told to the other nodes.
+ */
+void sht_note_session(struct sht *t, uint64_t now, const char *service,
+		      uint64_t session, const char *version)
+{
+	struct order *o = find(t, service);
+	uint64_t hash = sht_version_hash(version);
+	bool is_new;
+
+	rcs_note(&t->g->recent, now, session, hash);
+	if (!o || !sft_tells_session(o->shift, now, session) ||
+	    o->told.n == WFL_MAX_SESSIONS)
+		return;
+	is_new = !strcmp(version, o->shift->target);
+	for (uint32_t i = 0; i < o->told.n; i++) {
+		if (o->told.session[i] == session) {
+			o->told.is_new[i] = is_new;
+			return;
+		}
+	}
+	o->told.session[o->told.n] = session;
+	o->told.is_new[o->told.n++] = is_new;
+}
+
+/* Takes the sessions to tell of the order with index i. False: none. */
+bool sht_take_sessions(struct sht *t, uint32_t i, struct wfl_sessions *out)
+{
+	struct order *o = t->orders->pdata[i];
+
+	if (!o->told.n)
+		return false;
+	*out = o->told;
+	g_strlcpy(out->service, o->shift->service, sizeof(out->service));
+	g_strlcpy(out->target, o->shift->target, sizeof(out->target));
+	o->told.n = 0;
+	return true;
+}
+
+/* Another node told where sessions run. */
+void sht_on_sessions(struct sht *t, uint64_t now, const struct wfl_sessions *s)
+{
+	uint64_t target = sht_version_hash(s->target);
+
+	if (!find_target(t, s->service, s->target))
+		return;
+	for (uint32_t i = 0; i < s->n; i++)
+		rcs_note(&t->g->recent, now, s->session[i],
+			 s->is_new[i] ? target : ~target);
+}
+
 /* The node that judges told its plan. */
 void sht_on_plan(struct sht *t, uint64_t now, const struct wfl_plan *p)
 {
--- a/rollout/shift-task.h
+++ b/rollout/shift-task.h
@@ -24,6 +24,11 @@
 void sht_on_report(struct sht *t, uint64_t now, const struct wfl_report *r);
 void sht_on_plan(struct sht *t, uint64_t now, const struct wfl_plan *p);
 
+void sht_note_session(struct sht *t, uint64_t now, const char *service,
+		      uint64_t session, const char *version);
+bool sht_take_sessions(struct sht *t, uint32_t i, struct wfl_sessions *out);
+void sht_on_sessions(struct sht *t, uint64_t now, const struct wfl_sessions *s);
+uint64_t sht_version_hash(const char *version);
 uint32_t sht_count(const struct sht *t);
 struct sft *sht_at(const struct sht *t, uint32_t i);
 bool sht_is_open(const struct sht *t, uint32_t i);
--- a/rollout/shift.c
+++ b/rollout/shift.c
@@ -30,13 +30,14 @@
 
 /* Starts to follow an order that was seen now. */
 struct sft *sft_new(const char *service, const char *target, uint32_t over_ms,
-		    uint64_t now)
+		    uint32_t session_ms, uint64_t now)
 {
 	struct sft *s = g_new0(struct sft, 1);
 
 	s->service = g_strdup(service);
 	s->target = g_strdup(target);
 	s->over_ms = MAX(over_ms, 1);
+	s->session_ms = session_ms;
 	s->began_at = now;
 	s->reports = g_array_new(FALSE, TRUE, sizeof(struct sft_report));
 	return s;
@@ -310,7 +311,7 @@
 {
 	double f = (double)sft_age(s, now) / s->over_ms;
 
-	if (sft_age(s, now) < WARM_UP_MS)
+	if (sft_age(s, now) < s->session_ms + WARM_UP_MS)
 		return 0;
 	if (f < QUARTER_FROM || (!proven && f < HALF_FROM))
 		return TRIAL_SHARE;
@@ -365,6 +366,22 @@
 	return plan;
 }
 
+static bool is_drawn(uint64_t hash, uint32_t share)
+{
+	return (hash >> 16) % SFT_WHOLE < share;
+}
+
+/*
+ * Tells whether other nodes need to know where a session ran: it is one of
+ * those that the trial draws, and may still not move.
+ */
+bool sft_tells_session(const struct sft *s, uint64_t now, uint64_t session)
+{
+	return s->plan.state == SFT_TRIAL && session &&
+	       sft_age(s, now) < MOVE_FROM * s->over_ms &&
+	       is_drawn(session, (uint32_t)(SFT_WHOLE * TRIAL_SHARE));
+}
+
 /*
  * Chooses the version for a request; the hash is that of its session, or
  * random. In the first half a session stays where it was; in the second one
@@ -381,5 +398,5 @@
 		return SFT_NEW;
 	if (seen == SFT_SEEN_OLD && !may_move)
 		return SFT_OLD;
-	return (hash >> 16) % SFT_WHOLE < s->plan.share ? SFT_NEW : SFT_OLD;
+	return is_drawn(hash, s->plan.share) ? SFT_NEW : SFT_OLD;
 }
--- a/rollout/shift.h
+++ b/rollout/shift.h
@@ -93,6 +93,7 @@
 	char *service;
 	char *target;
 	uint32_t over_ms;
+	uint32_t session_ms; /* requests within it belong to one session */
 	uint64_t began_at;
 	struct sft_evidence own;
 	struct sft_pace pace[SFT_MAX_ROUTES];
@@ -107,7 +108,7 @@
 };
 
 struct sft *sft_new(const char *service, const char *target, uint32_t over_ms,
-		    uint64_t now);
+		    uint32_t session_ms, uint64_t now);
 void sft_free(struct sft *s);
 void sft_on_request(struct sft *s);
 void sft_on_sent(struct sft *s, enum sft_version version);
@@ -121,6 +122,7 @@
 			  const struct sft_params *p, uint32_t ready_new);
 enum sft_version sft_choose(const struct sft *s, uint64_t now, uint64_t hash,
 			    enum sft_seen seen);
+bool sft_tells_session(const struct sft *s, uint64_t now, uint64_t session);
 uint32_t sft_age(const struct sft *s, uint64_t now);
 struct sft_evidence sft_total(const struct sft *s);
 const char *sft_state_name(enum sft_state state);
--- a/wire/fleet-codec.c
+++ b/wire/fleet-codec.c
@@ -9,6 +9,7 @@
 
 #define PROC_REPORT 4
 #define PROC_PLAN 5
+#define PROC_SESSIONS 6
 #define PROC_OFFSET 20 /* of the procedure in an ONC RPC call */
 
 /* Tells which kind of message the bytes hold; they are not checked. */
@@ -21,6 +22,8 @@
 		return WFL_REPORT;
 	case PROC_PLAN:
 		return WFL_PLAN;
+	case PROC_SESSIONS:
+		return WFL_SESSIONS;
 	default:
 		return WFL_OTHER;
 	}
@@ -163,3 +166,46 @@
 	xdr_free((xdrproc_t)xdr_fleet_plan, (char *)&w);
 	return fault;
 }
+
+/* Writes a list of sessions; returns its length, or 0 if it does not fit. */
+size_t wfl_put_sessions(const struct wfl_sessions *s, const char *key,
+			uint8_t *buf, size_t size)
+{
+	struct fleet_session list[WFL_MAX_SESSIONS];
+	struct fleet_sessions w = {
+		.service = (char *)s->service,
+		.target = (char *)s->target,
+		.list = {.list_len = s->n, .list_val = list},
+	};
+
+	for (uint32_t i = 0; i < s->n; i++) {
+		list[i].session = s->session[i];
+		list[i].is_new = s->is_new[i];
+	}
+	return put(PROC_SESSIONS, (xdrproc_t)xdr_fleet_sessions, &w, key, buf,
+		   size);
+}
+
+/* Reads a list of sessions. */
+enum wir_fault wfl_get_sessions(const uint8_t *buf, size_t len, const char *key,
+				struct wfl_sessions *s)
+{
+	struct fleet_sessions w;
+	enum wir_fault fault;
+
+	memset(&w, 0, sizeof(w));
+	memset(s, 0, sizeof(*s));
+	fault = get(PROC_SESSIONS, (xdrproc_t)xdr_fleet_sessions, &w, key, buf,
+		    len);
+	if (fault == WIR_OK) {
+		g_strlcpy(s->service, w.service, sizeof(s->service));
+		g_strlcpy(s->target, w.target, sizeof(s->target));
+		s->n = MIN(w.list.list_len, WFL_MAX_SESSIONS);
+		for (uint32_t i = 0; i < s->n; i++) {
+			s->session[i] = w.list.list_val[i].session;
+			s->is_new[i] = w.list.list_val[i].is_new;
+		}
+	}
+	xdr_free((xdrproc_t)xdr_fleet_sessions, (char *)&w);
+	return fault;
+}
--- a/wire/fleet-codec.h
+++ b/wire/fleet-codec.h
@@ -13,6 +13,7 @@
 	WFL_OTHER, /* a message of the membership */
 	WFL_REPORT,
 	WFL_PLAN,
+	WFL_SESSIONS,
 };
 
 struct wfl_report {
@@ -28,14 +29,29 @@
 	struct sft_plan plan;
 };
 
+#define WFL_MAX_SESSIONS 64
+
+/* Sessions that requests of the sender belonged to, and where those ran. */
+struct wfl_sessions {
+	char service[SFT_NAME_MAX];
+	char target[SFT_NAME_MAX];
+	uint32_t n;
+	uint64_t session[WFL_MAX_SESSIONS];
+	bool is_new[WFL_MAX_SESSIONS]; /* on the new version */
+};
+
 enum wfl_kind wfl_kind_of(const uint8_t *buf, size_t len);
 size_t wfl_put_report(const struct wfl_report *r, const char *key, uint8_t *buf,
 		      size_t size);
 size_t wfl_put_plan(const struct wfl_plan *p, const char *key, uint8_t *buf,
 		    size_t size);
+size_t wfl_put_sessions(const struct wfl_sessions *s, const char *key,
+			uint8_t *buf, size_t size);
 enum wir_fault wfl_get_report(const uint8_t *buf, size_t len, const char *key,
 			      struct wfl_report *r);
 enum wir_fault wfl_get_plan(const uint8_t *buf, size_t len, const char *key,
 			    struct wfl_plan *p);
+enum wir_fault wfl_get_sessions(const uint8_t *buf, size_t len, const char *key,
+				struct wfl_sessions *s);
 
 #endif
--- a/wire/fleet-xdr.c
+++ b/wire/fleet-xdr.c
@@ -150,6 +150,33 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fleet_session (XDR *xdrs, fleet_session *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->session))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->is_new))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fleet_sessions (XDR *xdrs, fleet_sessions *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->service, FLEET_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->target, FLEET_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, FLEET_SESSIONS_MAX,
+		sizeof (fleet_session), (xdrproc_t) xdr_fleet_session))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fleet_plan (XDR *xdrs, fleet_plan *objp)
 {
--- a/wire/fleet.h
+++ b/wire/fleet.h
@@ -16,6 +16,7 @@
 #define FLEET_NAME_MAX 127
 #define FLEET_ROUTES_MAX 12
 #define FLEET_CELLS 8
+#define FLEET_SESSIONS_MAX 64
 
 struct fleet_cell {
 	u_quad_t route;
@@ -39,6 +40,22 @@
 };
 typedef struct fleet_report fleet_report;
 
+struct fleet_session {
+	u_quad_t session;
+	u_int is_new;
+};
+typedef struct fleet_session fleet_session;
+
+struct fleet_sessions {
+	char *service;
+	char *target;
+	struct {
+		u_int list_len;
+		fleet_session *list_val;
+	} list;
+};
+typedef struct fleet_sessions fleet_sessions;
+
 struct fleet_plan {
 	char *node;
 	char *service;
@@ -54,11 +71,15 @@
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_fleet_cell (XDR *, fleet_cell*);
 extern  bool_t xdr_fleet_report (XDR *, fleet_report*);
+extern  bool_t xdr_fleet_session (XDR *, fleet_session*);
+extern  bool_t xdr_fleet_sessions (XDR *, fleet_sessions*);
 extern  bool_t xdr_fleet_plan (XDR *, fleet_plan*);
 
 #else /* K&R C */
 extern bool_t xdr_fleet_cell ();
 extern bool_t xdr_fleet_report ();
+extern bool_t xdr_fleet_session ();
+extern bool_t xdr_fleet_sessions ();
 extern bool_t xdr_fleet_plan ();
 
 #endif /* K&R C */
--- a/wire/fleet.x
+++ b/wire/fleet.x
@@ -7,6 +7,7 @@
 const FLEET_NAME_MAX = 127;
 const FLEET_ROUTES_MAX = 12;
 const FLEET_CELLS = 8;
+const FLEET_SESSIONS_MAX = 64;
 
 struct fleet_cell {
 	unsigned hyper route;
@@ -25,6 +26,17 @@
 	fleet_cell cells<FLEET_ROUTES_MAX>;
 };
 
+struct fleet_session {
+	unsigned hyper session;
+	unsigned int is_new;
+};
+
+struct fleet_sessions {
+	string service<FLEET_NAME_MAX>;
+	string target<FLEET_NAME_MAX>;
+	fleet_session list<FLEET_SESSIONS_MAX>;
+};
+
 struct fleet_plan {
 	string node<FLEET_NAME_MAX>;
 	string service<FLEET_NAME_MAX>;
