--- a/daemon/gateway.c
+++ b/daemon/gateway.c
@@ -314,6 +314,7 @@
 	flt_tick(g->fleet, now);
 	pst_tick(g->state, now);
 	sht_tick(g->shifts, now);
+	lds_apply(&g->loads, now, &g->servers);
 	if (ticks % SWEEP_TICKS == 0) {
 		svt_sweep(&g->servers);
 		rcs_sweep(&g->recent, now);
@@ -410,6 +411,7 @@
 	stat(path, &settings_stat);
 	g->http = hc_new(g->loop);
 	svt_init(&g->servers);
+	lds_init(&g->loads);
 	bud_init(&g->budget, &none);
 	apply_settings(g);
 	rcs_init(&g->recent,
--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -10,6 +10,7 @@
 #include "exchange/budget.h"
 #include "exchange/cascade.h"
 #include "exchange/feed.h"
+#include "exchange/loads.h"
 #include "exchange/names.h"
 #include "exchange/routes.h"
 #include "exchange/servers.h"
@@ -41,6 +42,7 @@
 	struct rts *routes; /* in force; NULL: none yet */
 	struct json_object *doc; /* of which `routes` was made */
 	struct svt servers;
+	struct lds loads;
 	struct bud budget;
 	struct csc cascade;
 	struct pfd *feed;
--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -22,6 +22,7 @@
 #define LATE_STREAM_MS 2500
 #define LATE_PLAIN_MS 1300 /* before the end of the time of grace */
 #define MIN_LEFT_MS 5
+#define MODEL_MIX 0x9e3779b97f4a7c15ULL
 
 /* One request of a client, from its arrival to its final answer. */
 struct exc {
@@ -46,6 +47,7 @@
 	/* the attempt under way */
 	struct hc_call *call;
 	struct svt_server *server;
+	struct svt_work work; /* counted at the server */
 	uint64_t attempt_at;
 	struct rty_answer answer;
 	struct htm_fields head;
@@ -255,12 +257,21 @@
 	return SVT_NEUTRAL;
 }
 
+/* Mean time between the attempt's events, 0 if it had too few. */
+static double event_ms(const struct exc *x)
+{
+	if (x->attempt_events < 3)
+		return 0;
+	return (double)(x->last_event_at - x->first_event_at) /
+	       (double)(x->attempt_events - 1);
+}
+
 /* Tells a roll-out of the service how the attempt went. */
 static void add_evidence(struct exc *x)
 {
 	struct sft *shift = sht_find(x->g->shifts, x->service);
 	bool failed = x->answer.result == RTY_BROKEN || x->answer.status >= 500;
-	double first = x->head_ms, event = 0;
+	double first = x->head_ms, event = event_ms(x);
 
 	if (!shift || !x->sent_by_shift)
 		return;
@@ -268,9 +279,6 @@
 		return;
 	if (x->attempt_events)
 		first = (double)(x->first_event_at - x->attempt_at) + 0.5;
-	if (x->attempt_events > 2)
-		event = (double)(x->last_event_at - x->first_event_at) /
-			(double)(x->attempt_events - 1);
 	sft_on_answer(shift, x->version,
 		      XXH3_64bits(x->route->name, strlen(x->route->name)),
 		      failed, first, event);
@@ -281,6 +289,11 @@
 	enum svt_outcome outcome = outcome_of(x, end);
 
 	add_evidence(x);
+	svt_on_read(x->server, &x->work);
+	x->server->decode = MAX(x->server->decode - x->work.weight, 0);
+	if (x->answer.result == RTY_GOOD && x->attempt_events > 4)
+		svt_on_pace(&x->g->servers, x->server,
+			    event_ms(x) / MAX(x->work.weight, 0.1));
 	if (x->route->kind == RTS_STREAMING)
 		sht_note_session(x->g->shifts, gwy_now(x->g), x->service,
 				 x->session, x->server->version);
@@ -451,8 +464,10 @@
 
 	begin_answer(x);
 	x->last_event_at = gwy_now(x->g);
-	if (!x->attempt_events++)
+	if (!x->attempt_events++) {
 		x->first_event_at = x->last_event_at;
+		svt_on_read(x->server, &x->work);
+	}
 	if (x->call)
 		hc_set_progress(x->call, rty_gap_ms(&x->retry, x->route));
 	if (x->req)
@@ -625,14 +640,38 @@
 	return x->version == SFT_NEW || s->plan.state == SFT_COMPLETED;
 }
 
+/* A model's share of the cost of the route's dearest one. */
+static double model_weight(const struct exc *x)
+{
+	const struct rts_route *r = x->route;
+	double most = 0, cost;
+
+	if (r->kind != RTS_STREAMING || !x->prompt.input_tokens)
+		return 0;
+	for (size_t i = 0; i < r->n_models; i++)
+		most = MAX(most, rts_model_cost(x->routes, r, r->models[i]));
+	cost = x->model ? rts_model_cost(x->routes, r, x->model) : most;
+	return most > 0 ? MAX(cost / most, 0.01) : 1;
+}
+
+/* The cache of a model serves no other one. */
+static uint64_t affinity_of(const struct exc *x)
+{
+	return x->prompt.shared
+		       ? x->prompt.shared ^ (x->model_index * MODEL_MIX)
+		       : 0;
+}
+
 static struct svt_server *pick(struct exc *x, uint64_t now)
 {
 	struct svt_server *s;
 	struct svt_wish wish = {
 		.service = x->service,
 		.zone = x->g->settings->zone,
-		.affinity = x->prompt.shared,
-		.affinity_tokens = x->prompt.shared_tokens,
+		.affinity = affinity_of(x),
+		.shared_tokens = x->prompt.shared_tokens,
+		.input_tokens = x->prompt.input_tokens,
+		.weight = model_weight(x),
 		.n_tried = x->n_tried,
 	};
 
@@ -644,6 +683,8 @@
 		wish.versions = x->version == SFT_NEW ? SVT_ONLY : SVT_NOT;
 		s = svt_pick(&x->g->servers, now, &wish, &x->g->rng);
 	}
+	if (s)
+		x->work = svt_work_of(&x->g->servers, now, &wish, s);
 	return s;
 }
 
@@ -682,6 +723,7 @@
 	x->head_ms = 0;
 	x->attempt_events = 0;
 	svt_on_start(x->server);
+	svt_on_work(x->server, &x->work);
 	x->server_version = g_intern_string(x->server->version);
 	if (x->sent_by_shift && sht_find(x->g->shifts, x->service))
 		sft_on_sent(sht_find(x->g->shifts, x->service), x->version);
--- /dev/null
+++ b/exchange/loads.c
@@ -0,0 +1,107 @@
+#include "exchange/loads.h"
+
+#include <string.h>
+
+struct lds_node {
+	uint64_t at;
+	struct wfl_loads told;
+};
+
+/* Starts with nothing told. */
+void lds_init(struct lds *l)
+{
+	l->nodes =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+/* Frees what was told. */
+void lds_clear(struct lds *l)
+{
+	g_hash_table_unref(l->nodes);
+}
+
+/* Takes what a node told; it replaces what that node told before. */
+void lds_take(struct lds *l, uint64_t now, const struct wfl_loads *told)
+{
+	struct lds_node *n = g_hash_table_lookup(l->nodes, told->node);
+
+	if (!n) {
+		n = g_new0(struct lds_node, 1);
+		g_hash_table_insert(l->nodes, g_strdup(told->node), n);
+	}
+	n->at = now;
+	n->told = *told;
+}
+
+static gboolean is_stale(gpointer key, gpointer value, gpointer now)
+{
+	const struct lds_node *n = value;
+
+	(void)key;
+	return *(uint64_t *)now - n->at > LDS_FRESH_MS;
+}
+
+static struct svt_server *by_hash(const struct svt *t, uint64_t hash)
+{
+	for (guint i = 0; i < t->all->len; i++) {
+		struct svt_server *s = t->all->pdata[i];
+
+		if (s->hash == hash)
+			return s;
+	}
+	return NULL;
+}
+
+static void add_told(struct svt *t, const struct wfl_loads *told)
+{
+	for (uint32_t i = 0; i < told->n; i++) {
+		const struct wfl_load *load = &told->load[i];
+		struct svt_server *s = by_hash(t, load->server);
+
+		if (!s)
+			continue;
+		s->others_decode += load->decode / 100.0;
+		s->others_prefill += load->prefill;
+		s->others_in_flight += load->in_flight;
+	}
+}
+
+/* Sets the servers' loads of the other nodes; forgets what is stale. */
+void lds_apply(struct lds *l, uint64_t now, struct svt *servers)
+{
+	GHashTableIter it;
+	void *value;
+
+	g_hash_table_foreach_remove(l->nodes, is_stale, &now);
+	for (guint i = 0; i < servers->all->len; i++) {
+		struct svt_server *s = servers->all->pdata[i];
+
+		s->others_decode = 0;
+		s->others_prefill = 0;
+		s->others_in_flight = 0;
+	}
+	g_hash_table_iter_init(&it, l->nodes);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		add_told(servers, &((struct lds_node *)value)->told);
+}
+
+/* Fills in what this node has to tell. False: it puts no load on any. */
+bool lds_fill(const struct svt *servers, const char *node,
+	      struct wfl_loads *out)
+{
+	memset(out, 0, sizeof(*out));
+	g_strlcpy(out->node, node, sizeof(out->node));
+	for (guint i = 0; i < servers->all->len; i++) {
+		const struct svt_server *s = servers->all->pdata[i];
+		struct wfl_load *load = &out->load[out->n];
+
+		if (!s->in_flight || out->n == WFL_MAX_LOADS)
+			continue;
+		load->server = s->hash;
+		load->decode = (uint32_t)(s->decode * 100);
+		load->prefill = (uint32_t)s->prefill;
+		load->in_flight = s->in_flight;
+		out->n++;
+	}
+	return out->n > 0;
+}
--- a/exchange/servers.c
+++ b/exchange/servers.c
@@ -9,11 +9,15 @@
 #define FAILURE_WEIGHT 0.1
 #define OTHER_ZONE_LOAD 0.35
 #define COLD_FACTOR 1.6
-#define BOUND_FACTOR 1.35
-#define BOUND_SLACK 2.0
-#define SMALL_PREFIX_TOKENS 400
+#define READ_MS_PER_TOKEN 0.021
+#define DECODE_MS 20.0
+#define OTHER_ZONE_MS 3.0
+#define FULL_MS 500.0
+#define FAILURE_FACTOR 4
+#define PACE_WEIGHT 0.15
+#define PACE_MIN 0.6
+#define PACE_MAX 5.0
 #define EJECT_AFTER 2
-#define GREY_SHARE 0.25
 #define ENGINE_SLOTS 32
 
 static const char *const state_names[] = {"ready", "draining", "gone"};
@@ -219,7 +223,7 @@
 	double slots = s->slots ? s->slots : 1;
 	double load = (svt_load(s, now) + 1) / MIN(slots, ENGINE_SLOTS);
 
-	load *= CLAMP(s->slowness, 0.5, 8) * (1 + 4 * s->failure);
+	load *= CLAMP(s->slowness, 0.5, 8) * (1 + FAILURE_FACTOR * s->failure);
 	if (s->cold_until > now)
 		load *= COLD_FACTOR;
 	if (g_strcmp0(s->zone, w->zone) != 0)
@@ -257,46 +261,95 @@
 	return XXH3_64bits(both, sizeof(both));
 }
 
-static double mean_load(const struct svt *t, uint64_t now,
-			const struct svt_wish *w)
+/* Returns the server that a shared part belongs to, whatever its load. */
+static struct svt_server *home_of(const struct svt *t, uint64_t now,
+				  const struct svt_wish *w)
 {
-	double sum = 0;
-	uint32_t n = 0;
+	struct svt_server *home = NULL;
+	uint64_t best = 0;
 
 	for (guint i = 0; i < t->all->len; i++) {
-		const struct svt_server *s = t->all->pdata[i];
+		struct svt_server *s = t->all->pdata[i];
+		uint64_t rank;
 
 		if (!is_candidate(s, now, w, false))
 			continue;
-		sum += svt_load(s, now);
-		n++;
+		rank = rank_of(s, w->affinity);
+		if (!home || rank > best) {
+			home = s;
+			best = rank;
+		}
 	}
-	return n ? sum / n : 0;
+	return home;
+}
+
+static double tokens_to_read(const struct svt_wish *w, bool at_home)
+{
+	uint32_t cached = at_home ? MIN(w->shared_tokens, w->input_tokens) : 0;
+
+	return w->weight * (w->input_tokens - cached);
+}
+
+/* Returns what a request adds to the load of the server chosen for it. */
+struct svt_work svt_work_of(const struct svt *t, uint64_t now,
+			    const struct svt_wish *wish,
+			    const struct svt_server *s)
+{
+	bool at_home = wish->affinity && home_of(t, now, wish) == s;
+	struct svt_work work = {wish->weight, tokens_to_read(wish, at_home)};
+
+	return work;
+}
+
+static double pace_of(const struct svt *t, const struct svt_server *s)
+{
+	if (s->event_ms <= 0 || t->usual_event_ms <= 0)
+		return 1;
+	return CLAMP(s->event_ms / t->usual_event_ms, PACE_MIN, PACE_MAX);
+}
+
+/* Estimates the delay of a model request at a server, in ms. */
+static double expected_delay(const struct svt *t, const struct svt_server *s,
+			     uint64_t now, const struct svt_wish *w,
+			     bool at_home)
+{
+	double ms =
+		(s->prefill + s->others_prefill + tokens_to_read(w, at_home)) *
+			READ_MS_PER_TOKEN +
+		(s->decode + s->others_decode) * DECODE_MS;
+
+	ms *= pace_of(t, s) * (1 + FAILURE_FACTOR * s->failure);
+	if (s->cold_until > now)
+		ms *= COLD_FACTOR;
+	if (s->slots && svt_load(s, now) >= s->slots)
+		ms += FULL_MS;
+	if (g_strcmp0(s->zone, w->zone) != 0)
+		ms += OTHER_ZONE_MS;
+	return ms;
 }
 
 /*
- * Rendezvous hashing with bounded load: the server that ranks highest for the
- * shared part among those that are not far above the mean load.
+ * The server with the shortest expected delay: what waits to be read in, the
+ * requests that run, and for the home of the prompt's shared part what need
+ * not be read again.
  */
-static struct svt_server *by_affinity(struct svt *t, uint64_t now,
+static struct svt_server *least_delay(struct svt *t, uint64_t now,
 				      const struct svt_wish *w)
 {
-	double bound = mean_load(t, now, w) * BOUND_FACTOR + BOUND_SLACK;
+	const struct svt_server *home = w->affinity ? home_of(t, now, w) : NULL;
 	struct svt_server *best = NULL;
-	uint64_t best_rank = 0;
+	double best_ms = DBL_MAX;
 
 	for (guint i = 0; i < t->all->len; i++) {
 		struct svt_server *s = t->all->pdata[i];
-		uint64_t rank;
+		double ms;
 
-		if (!is_candidate(s, now, w, false) ||
-		    svt_load(s, now) * s->slowness > bound ||
-		    s->failure > GREY_SHARE)
+		if (!is_candidate(s, now, w, false))
 			continue;
-		rank = rank_of(s, w->affinity);
-		if (!best || rank > best_rank) {
+		ms = expected_delay(t, s, now, w, s == home);
+		if (ms < best_ms) {
 			best = s;
-			best_rank = rank;
+			best_ms = ms;
 		}
 	}
 	return best;
@@ -311,13 +364,38 @@
 {
 	struct svt_server *s = NULL;
 
-	if (w->affinity && w->affinity_tokens >= SMALL_PREFIX_TOKENS)
-		s = by_affinity(t, now, w);
+	if (w->weight > 0)
+		s = least_delay(t, now, w);
 	if (!s)
 		s = least_loaded(t, now, w, false, rng);
 	return s ? s : least_loaded(t, now, w, true, rng);
 }
 
+/* A model request goes to the server. */
+void svt_on_work(struct svt_server *s, const struct svt_work *work)
+{
+	s->decode += work->weight;
+	s->prefill += work->prefill;
+}
+
+/* The request's prompt has been read in, or it has ended. */
+void svt_on_read(struct svt_server *s, struct svt_work *work)
+{
+	s->prefill = MAX(s->prefill - work->prefill, 0);
+	work->prefill = 0;
+}
+
+/* Takes the mean time between events of a stream, per unit of weight. */
+void svt_on_pace(struct svt *t, struct svt_server *s, double event_ms)
+{
+	if (s->event_ms <= 0)
+		s->event_ms = event_ms;
+	if (t->usual_event_ms <= 0)
+		t->usual_event_ms = event_ms;
+	s->event_ms += PACE_WEIGHT * (event_ms - s->event_ms);
+	t->usual_event_ms += USUAL_WEIGHT * (event_ms - t->usual_event_ms);
+}
+
 /* A request of this node goes to the server. */
 void svt_on_start(struct svt_server *s)
 {
--- a/exchange/servers.h
+++ b/exchange/servers.h
@@ -49,6 +49,11 @@
 	uint64_t seen_at; /* when its version was first seen */
 	uint32_t in_flight; /* of this node */
 	uint32_t others_in_flight; /* of the other nodes, as they told */
+	double decode; /* weights of this node's model requests there */
+	double prefill; /* their weighted tokens not read in yet */
+	double others_decode; /* the same of the other nodes */
+	double others_prefill;
+	double event_ms; /* mean time between events, per unit of weight */
 	uint32_t reported; /* running and waiting, by its own answers */
 	uint32_t reported_in_flight; /* of this node, at that moment */
 	uint32_t reported_waiting;
@@ -65,6 +70,7 @@
 	GHashTable *by_id; /* id -> struct svt_server */
 	GPtrArray *all;
 	double usual_ms; /* mean time to the head of plain answers */
+	double usual_event_ms; /* of all servers */
 	uint64_t picks;
 };
 
@@ -90,7 +96,9 @@
 	enum svt_versions versions;
 	const char *version;
 	uint64_t affinity; /* hash of the shared part of the prompt; 0: none */
-	uint32_t affinity_tokens; /* its size */
+	uint32_t shared_tokens; /* of the prompt up to it */
+	uint32_t input_tokens; /* of the whole prompt */
+	double weight; /* of the model, 0 to 1; 0: no model request */
 	uint64_t tried[SVT_MAX_TRIED]; /* hashes of their ids */
 	uint32_t n_tried;
 };
@@ -108,6 +116,18 @@
 struct svt_server *svt_pick(struct svt *t, uint64_t now,
 			    const struct svt_wish *wish, struct rng *rng);
 double svt_load(const struct svt_server *s, uint64_t now);
+/* What a model request adds to its server's load. */
+struct svt_work {
+	double weight;
+	double prefill; /* 0 once its first event is here */
+};
+
+struct svt_work svt_work_of(const struct svt *t, uint64_t now,
+			    const struct svt_wish *wish,
+			    const struct svt_server *s);
+void svt_on_work(struct svt_server *s, const struct svt_work *work);
+void svt_on_read(struct svt_server *s, struct svt_work *work);
+void svt_on_pace(struct svt *t, struct svt_server *s, double event_ms);
 void svt_on_start(struct svt_server *s);
 void svt_on_load(struct svt_server *s, uint64_t now, uint32_t running,
 		 uint32_t waiting, uint32_t slots);
--- a/fleet/fleet-task.c
+++ b/fleet/fleet-task.c
@@ -16,6 +16,7 @@
 #include "wire/fleet-codec.h"
 
 #define JOIN_EVERY_MS 500
+#define LOADS_TO 16 /* nodes that hear of a node's loads at a time */
 #define JUDGES 2 /* nodes that get the reports */
 
 struct flt {
@@ -26,6 +27,7 @@
 	uint8_t in[WIR_MAX_BYTES];
 	uint64_t join_at;
 	uint64_t report_at;
+	bool told_load; /* the last message told of some */
 	uint32_t alive; /* counts last logged */
 	uint32_t suspect;
 };
@@ -261,6 +263,34 @@
 	}
 }
 
+/* Tells some other nodes what this one puts on the servers. */
+static void tell_loads(struct flt *t)
+{
+	const GArray *members = t->members.members;
+	uint8_t bytes[WIR_MAX_BYTES];
+	struct wfl_loads l;
+	bool any = lds_fill(&t->g->servers, t->g->settings->node, &l);
+	uint32_t left = LOADS_TO;
+	guint start;
+	size_t len;
+
+	if ((!any && !t->told_load) || !members->len)
+		return;
+	t->told_load = any;
+	len = wfl_put_loads(&l, t->g->settings->cluster_key, bytes,
+			    sizeof(bytes));
+	start = rng_below(&t->g->rng, members->len);
+	for (guint i = 0; i < members->len && left; i++) {
+		const struct mbr_member *m = &g_array_index(
+			members, struct mbr_member, (start + i) % members->len);
+
+		if (m->is.state != MBR_ALIVE)
+			continue;
+		send_bytes(t, m->is.addr, bytes, len);
+		left--;
+	}
+}
+
 /* Does what is due; call it every MBR_ACK_MS / 2. */
 void flt_tick(struct flt *t, uint64_t now)
 {
@@ -272,6 +302,7 @@
 	join(t, now);
 	tell_shifts(t, now);
 	tell_sessions(t);
+	tell_loads(t);
 	note_changes(t);
 }
 
@@ -336,6 +367,17 @@
 		sht_on_sessions(t->g->shifts, gwy_now(t->g), &s);
 }
 
+static void on_loads(struct flt *t, const uint8_t *bytes, size_t len)
+{
+	struct wfl_loads l;
+
+	if (wfl_get_loads(bytes, len, t->g->settings->cluster_key, &l) !=
+	    WIR_OK)
+		ctr_add(&t->g->ctr, CTR_PEER_BAD, 1);
+	else
+		lds_take(&t->g->loads, gwy_now(t->g), &l);
+}
+
 static void on_receive(uv_udp_t *socket, ssize_t len, const uv_buf_t *buf,
 		       const struct sockaddr *from, unsigned int flags)
 {
@@ -355,6 +397,9 @@
 	case WFL_PLAN:
 		on_plan(t, bytes, (size_t)len);
 		break;
+	case WFL_LOADS:
+		on_loads(t, bytes, (size_t)len);
+		break;
 	case WFL_SESSIONS:
 		on_sessions(t, bytes, (size_t)len);
 		break;
--- a/wire/fleet-codec.c
+++ b/wire/fleet-codec.c
@@ -10,6 +10,7 @@
 #define PROC_REPORT 4
 #define PROC_PLAN 5
 #define PROC_SESSIONS 6
+#define PROC_LOADS 7
 #define PROC_OFFSET 20 /* of the procedure in an ONC RPC call */
 
 /* Tells which kind of message the bytes hold; they are not checked. */
@@ -24,6 +25,8 @@
 		return WFL_PLAN;
 	case PROC_SESSIONS:
 		return WFL_SESSIONS;
+	case PROC_LOADS:
+		return WFL_LOADS;
 	default:
 		return WFL_OTHER;
 	}
@@ -209,3 +212,48 @@
 	xdr_free((xdrproc_t)xdr_fleet_sessions, (char *)&w);
 	return fault;
 }
+
+/* Writes loads; returns their length, or 0 if they do not fit. */
+size_t wfl_put_loads(const struct wfl_loads *l, const char *key, uint8_t *buf,
+		     size_t size)
+{
+	struct fleet_load list[WFL_MAX_LOADS];
+	struct fleet_loads w = {
+		.node = (char *)l->node,
+		.list = {.list_len = l->n, .list_val = list},
+	};
+
+	for (uint32_t i = 0; i < l->n; i++) {
+		list[i].server = l->load[i].server;
+		list[i].decode = l->load[i].decode;
+		list[i].prefill = l->load[i].prefill;
+		list[i].in_flight = l->load[i].in_flight;
+	}
+	return put(PROC_LOADS, (xdrproc_t)xdr_fleet_loads, &w, key, buf, size);
+}
+
+/* Reads loads. */
+enum wir_fault wfl_get_loads(const uint8_t *buf, size_t len, const char *key,
+			     struct wfl_loads *l)
+{
+	struct fleet_loads w;
+	enum wir_fault fault;
+
+	memset(&w, 0, sizeof(w));
+	memset(l, 0, sizeof(*l));
+	fault = get(PROC_LOADS, (xdrproc_t)xdr_fleet_loads, &w, key, buf, len);
+	if (fault == WIR_OK) {
+		g_strlcpy(l->node, w.node, sizeof(l->node));
+		l->n = MIN(w.list.list_len, WFL_MAX_LOADS);
+		for (uint32_t i = 0; i < l->n; i++) {
+			const struct fleet_load *from = &w.list.list_val[i];
+
+			l->load[i].server = from->server;
+			l->load[i].decode = from->decode;
+			l->load[i].prefill = from->prefill;
+			l->load[i].in_flight = from->in_flight;
+		}
+	}
+	xdr_free((xdrproc_t)xdr_fleet_loads, (char *)&w);
+	return fault;
+}
--- a/wire/fleet-codec.h
+++ b/wire/fleet-codec.h
@@ -14,6 +14,7 @@
 	WFL_REPORT,
 	WFL_PLAN,
 	WFL_SESSIONS,
+	WFL_LOADS,
 };
 
 struct wfl_report {
@@ -40,6 +41,22 @@
 	bool is_new[WFL_MAX_SESSIONS]; /* on the new version */
 };
 
+#define WFL_MAX_LOADS 48
+
+struct wfl_load {
+	uint64_t server; /* hash of its id */
+	uint32_t decode; /* hundredths of a unit of weight */
+	uint32_t prefill; /* weighted tokens */
+	uint32_t in_flight;
+};
+
+/* What the sender's requests put on the servers. */
+struct wfl_loads {
+	char node[SFT_NAME_MAX];
+	uint32_t n;
+	struct wfl_load load[WFL_MAX_LOADS];
+};
+
 enum wfl_kind wfl_kind_of(const uint8_t *buf, size_t len);
 size_t wfl_put_report(const struct wfl_report *r, const char *key, uint8_t *buf,
 		      size_t size);
@@ -53,5 +70,9 @@
 			    struct wfl_plan *p);
 enum wir_fault wfl_get_sessions(const uint8_t *buf, size_t len, const char *key,
 				struct wfl_sessions *s);
+size_t wfl_put_loads(const struct wfl_loads *l, const char *key, uint8_t *buf,
+		     size_t size);
+enum wir_fault wfl_get_loads(const uint8_t *buf, size_t len, const char *key,
+			     struct wfl_loads *l);
 
 #endif
--- a/wire/fleet-xdr.c
+++ b/wire/fleet-xdr.c
@@ -177,6 +177,35 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fleet_load (XDR *xdrs, fleet_load *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->server))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->decode))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->prefill))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->in_flight))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fleet_loads (XDR *xdrs, fleet_loads *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->node, FLEET_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, FLEET_LOADS_MAX,
+		sizeof (fleet_load), (xdrproc_t) xdr_fleet_load))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fleet_plan (XDR *xdrs, fleet_plan *objp)
 {
--- a/wire/fleet.h
+++ b/wire/fleet.h
@@ -16,6 +16,7 @@
 #define FLEET_NAME_MAX 127
 #define FLEET_ROUTES_MAX 12
 #define FLEET_CELLS 8
+#define FLEET_LOADS_MAX 48
 #define FLEET_SESSIONS_MAX 64
 
 struct fleet_cell {
@@ -56,6 +57,23 @@
 };
 typedef struct fleet_sessions fleet_sessions;
 
+struct fleet_load {
+	u_quad_t server;
+	u_int decode;
+	u_int prefill;
+	u_int in_flight;
+};
+typedef struct fleet_load fleet_load;
+
+struct fleet_loads {
+	char *node;
+	struct {
+		u_int list_len;
+		fleet_load *list_val;
+	} list;
+};
+typedef struct fleet_loads fleet_loads;
+
 struct fleet_plan {
 	char *node;
 	char *service;
@@ -73,6 +91,8 @@
 extern  bool_t xdr_fleet_report (XDR *, fleet_report*);
 extern  bool_t xdr_fleet_session (XDR *, fleet_session*);
 extern  bool_t xdr_fleet_sessions (XDR *, fleet_sessions*);
+extern  bool_t xdr_fleet_load (XDR *, fleet_load*);
+extern  bool_t xdr_fleet_loads (XDR *, fleet_loads*);
 extern  bool_t xdr_fleet_plan (XDR *, fleet_plan*);
 
 #else /* K&R C */
@@ -80,6 +100,8 @@
 extern bool_t xdr_fleet_report ();
 extern bool_t xdr_fleet_session ();
 extern bool_t xdr_fleet_sessions ();
+extern bool_t xdr_fleet_load ();
+extern bool_t xdr_fleet_loads ();
 extern bool_t xdr_fleet_plan ();
 
 #endif /* K&R C */
--- a/wire/fleet.x
+++ b/wire/fleet.x
@@ -7,6 +7,7 @@
 const FLEET_NAME_MAX = 127;
 const FLEET_ROUTES_MAX = 12;
 const FLEET_CELLS = 8;
+const FLEET_LOADS_MAX = 48;
 const FLEET_SESSIONS_MAX = 64;
 
 struct fleet_cell {
@@ -37,6 +38,18 @@
 	fleet_session list<FLEET_SESSIONS_MAX>;
 };
 
+struct fleet_load {
+	unsigned hyper server;
+	unsigned int decode;
+	unsigned int prefill;
+	unsigned int in_flight;
+};
+
+struct fleet_loads {
+	string node<FLEET_NAME_MAX>;
+	fleet_load list<FLEET_LOADS_MAX>;
+};
+
 struct fleet_plan {
 	string node<FLEET_NAME_MAX>;
 	string service<FLEET_NAME_MAX>;
