--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -850,6 +850,18 @@
 	attempt(x);
 }
 
+/* Tells whether a field by which the request is judged comes twice. */
+static bool is_ambiguous(const struct gwy *g, struct hs_req *req)
+{
+	const char *const single[] = {g->names->request_id, "authorization",
+				      g->names->deadline};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(single); i++)
+		if (htm_count_of(hs_fields(req), single[i]) > 1)
+			return true;
+	return false;
+}
+
 /* Tells whether the node stops too soon for a request of the route. */
 static bool is_too_late(struct gwy *g, const struct rts_route *route)
 {
@@ -873,6 +885,10 @@
 	rts_handle h, org = RTS_NONE;
 
 	ctr_add(&g->ctr, CTR_REQUESTS, 1);
+	if (!id || !*id || is_ambiguous(g, req)) {
+		refuse_early(g, req, 400, "no-single-request-id-or-key", 0);
+		return;
+	}
 	if (!gwy_knows_all(g)) {
 		refuse_early(g, req, 503, "no-configuration", 400);
 		return;
@@ -889,10 +905,6 @@
 		refuse_by_config(g, req, 401, "unknown-key");
 		return;
 	}
-	if (!id || !*id) {
-		refuse_early(g, req, 400, "no-request-id", 0);
-		return;
-	}
 	if (is_too_late(g, route)) {
 		refuse_early(g, req, 503, "draining", 100);
 		return;
--- /dev/null
+++ b/t/helper/objects.c
@@ -0,0 +1,321 @@
+/*
+ * Stand-in for the platform's object API by its published protocol: kinds of
+ * named objects with one revision counter, lists, watches and conditional
+ * writes. Faults are set with POST /control:
+ *   {"mode": "ok" | "busy" | "silent" | "reset"} for all calls from then on,
+ *   {"forget": true} drops the history, {"cut": true} ends waiting watches.
+ * GET /calls counts the calls.
+ */
+#include <json-c/json.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uv.h>
+
+#include "http/server.h"
+#include "json-check.h"
+
+#define MAX_BODY (4 * 1024 * 1024)
+
+enum mode {
+	MODE_OK,
+	MODE_BUSY,
+	MODE_SILENT,
+	MODE_RESET,
+};
+
+static const char *const mode_names[] = {"ok", "busy", "silent", "reset"};
+
+struct change {
+	uint64_t revision;
+	char *kind;
+	char *text; /* an event */
+};
+
+struct watch {
+	struct hs_req *req;
+	char *kind;
+	uint64_t from;
+	uv_timer_t timer;
+};
+
+static uv_loop_t *loop;
+static GHashTable *objects; /* "kind/name" -> json_object */
+static GPtrArray *changes;
+static GPtrArray *watches;
+static uint64_t revision = 10;
+static uint64_t forgotten; /* changes up to it are dropped */
+static uint64_t calls;
+static enum mode mode;
+
+static void end_watch(struct watch *w, bool answer)
+{
+	GString *body;
+	bool first = true;
+
+	g_ptr_array_remove(watches, w);
+	uv_timer_stop(&w->timer);
+	if (!w->req)
+		return;
+	hs_watch_gone(w->req, NULL, NULL);
+	if (!answer) {
+		hs_reply_json(w->req, 503, "{}");
+		return;
+	}
+	body = g_string_new("{\"events\":[");
+	for (guint i = 0; i < changes->len; i++) {
+		const struct change *c = changes->pdata[i];
+
+		if (c->revision <= w->from || strcmp(c->kind, w->kind) != 0)
+			continue;
+		g_string_append_printf(body, "%s%s", first ? "" : ",", c->text);
+		first = false;
+	}
+	g_string_append_printf(body, "],\"as_of\":%" G_GUINT64_FORMAT "}",
+			       revision);
+	hs_reply_json(w->req, 200, body->str);
+	g_string_free(body, TRUE);
+}
+
+static void on_wait_over(uv_timer_t *timer)
+{
+	end_watch(timer->data, true);
+}
+
+static void on_watcher_gone(void *user)
+{
+	struct watch *w = user;
+
+	w->req = NULL;
+	end_watch(w, false);
+}
+
+static void add_change(const char *kind, struct json_object *object,
+		       bool removed)
+{
+	struct change *c = g_new0(struct change, 1);
+	g_autoptr(GPtrArray) due = g_ptr_array_new();
+
+	c->revision = revision;
+	c->kind = g_strdup(kind);
+	c->text = g_strdup_printf(
+		"{\"removed\":%s,\"object\":%s}", removed ? "true" : "false",
+		json_object_to_json_string_ext(object, JSON_C_TO_STRING_PLAIN));
+	g_ptr_array_add(changes, c);
+	for (guint i = 0; i < watches->len; i++) {
+		struct watch *w = watches->pdata[i];
+
+		if (!strcmp(w->kind, kind))
+			g_ptr_array_add(due, w);
+	}
+	for (guint i = 0; i < due->len; i++)
+		end_watch(due->pdata[i], true);
+}
+
+static uint64_t query(const char *path, const char *key)
+{
+	const char *at = strstr(path, key);
+
+	return at ? g_ascii_strtoull(at + strlen(key), NULL, 10) : 0;
+}
+
+static void start_watch(struct hs_req *req, const char *kind)
+{
+	const char *path = hs_path(req);
+	struct watch *w;
+
+	if (query(path, "watch=") < forgotten) {
+		hs_reply_json(req, 410, "{}");
+		return;
+	}
+	w = g_new0(struct watch, 1);
+	w->req = req;
+	w->kind = g_strdup(kind);
+	w->from = query(path, "watch=");
+	uv_timer_init(loop, &w->timer);
+	w->timer.data = w;
+	g_ptr_array_add(watches, w);
+	hs_watch_gone(req, on_watcher_gone, w);
+	for (guint i = 0; i < changes->len; i++) {
+		const struct change *c = changes->pdata[i];
+
+		if (c->revision > w->from && !strcmp(c->kind, kind)) {
+			end_watch(w, true);
+			return;
+		}
+	}
+	uv_timer_start(&w->timer, on_wait_over, query(path, "wait_ms="), 0);
+}
+
+static void list(struct hs_req *req, const char *kind)
+{
+	g_autofree char *prefix = g_strdup_printf("%s/", kind);
+	g_autoptr(GString) body = g_string_new("{\"items\":[");
+	GHashTableIter it;
+	void *key, *value;
+	bool first = true;
+
+	g_hash_table_iter_init(&it, objects);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		if (!g_str_has_prefix(key, prefix))
+			continue;
+		g_string_append_printf(body, "%s%s", first ? "" : ",",
+				       json_object_to_json_string_ext(
+					       value, JSON_C_TO_STRING_PLAIN));
+		first = false;
+	}
+	g_string_append_printf(
+		body, "],\"has_more\":false,\"as_of\":%" G_GUINT64_FORMAT "}",
+		revision);
+	hs_reply_json(req, 200, body->str);
+}
+
+static struct json_object *new_object(const char *name)
+{
+	struct json_object *o = json_object_new_object();
+	struct json_object *meta = json_object_new_object();
+
+	jsn_add_str(meta, "name", name);
+	json_object_object_add(o, "meta", meta);
+	return o;
+}
+
+static void put(struct hs_req *req, char **part, struct json_object *body)
+{
+	g_autofree char *key = g_strdup_printf("%s/%s", part[0], part[1]);
+	struct json_object *o = g_hash_table_lookup(objects, key);
+	const char *field = part[2] ? "status" : "spec";
+	int64_t wanted = jsn_int(jsn_get(body, "meta"), "rev", 0);
+	struct json_object *meta;
+
+	if (!o && part[2]) {
+		hs_reply_json(req, 404, "{}");
+		return;
+	}
+	if (!o) {
+		o = new_object(part[1]);
+		g_hash_table_insert(objects, g_strdup(key), o);
+	}
+	meta = jsn_get(o, "meta");
+	if (wanted && wanted != jsn_int(meta, "rev", 0)) {
+		hs_reply_json(req, 409, json_object_to_json_string(o));
+		return;
+	}
+	revision++;
+	json_object_object_add(meta, "rev",
+			       json_object_new_int64((int64_t)revision));
+	json_object_object_add(o, field, json_object_get(jsn_get(body, field)));
+	add_change(part[0], o, false);
+	hs_reply_json(req, 200, json_object_to_json_string(o));
+}
+
+static void removed(struct hs_req *req, char **part)
+{
+	g_autofree char *key = g_strdup_printf("%s/%s", part[0], part[1]);
+	struct json_object *o = g_hash_table_lookup(objects, key);
+
+	if (!o) {
+		hs_reply_json(req, 404, "{}");
+		return;
+	}
+	revision++;
+	add_change(part[0], o, true);
+	g_hash_table_remove(objects, key);
+	hs_reply_json(req, 200, "{}");
+}
+
+static void control(struct hs_req *req, struct json_object *o)
+{
+	const char *wanted = jsn_str(o, "mode", NULL);
+
+	for (size_t i = 0; wanted && i < G_N_ELEMENTS(mode_names); i++)
+		if (!strcmp(mode_names[i], wanted))
+			mode = (enum mode)i;
+	if (jsn_get(o, "forget"))
+		forgotten = ++revision;
+	if (jsn_get(o, "cut") || mode != MODE_OK)
+		while (watches->len)
+			end_watch(watches->pdata[0], false);
+	hs_reply_json(req, 200, "{}");
+}
+
+static void serve(struct hs_req *req, struct json_object *body)
+{
+	g_autofree char *path =
+		g_strndup(hs_path(req), strcspn(hs_path(req), "?"));
+	g_auto(GStrv) part = g_strsplit(path + strlen("/objects/"), "/", 3);
+	bool operator_call = hs_header(req, "x-operator") != NULL;
+
+	if (!operator_call) {
+		calls++;
+		if (mode == MODE_SILENT)
+			return;
+		if (mode == MODE_BUSY) {
+			hs_reply_json(req, 503, "{}");
+			return;
+		}
+		if (mode == MODE_RESET) {
+			hs_begin(req, 200);
+			hs_abort(req);
+			return;
+		}
+	}
+	if (!strcmp(hs_method(req), "PUT") && part[0] && part[1])
+		put(req, part, body);
+	else if (!strcmp(hs_method(req), "DELETE") && part[0] && part[1])
+		removed(req, part);
+	else if (strstr(hs_path(req), "watch="))
+		start_watch(req, part[0]);
+	else
+		list(req, part[0]);
+}
+
+static void on_request(void *owner, struct hs_req *req)
+{
+	size_t len;
+	const char *text = hs_body(req, &len);
+	struct json_object *body = len ? json_tokener_parse(text) : NULL;
+	char number[64];
+
+	(void)owner;
+	if (!strcmp(hs_path(req), "/control")) {
+		control(req, body);
+	} else if (!strcmp(hs_path(req), "/calls")) {
+		snprintf(number, sizeof(number), "%" G_GUINT64_FORMAT "\n",
+			 calls);
+		hs_reply(req, 200, "text/plain", number, strlen(number));
+	} else if (g_str_has_prefix(hs_path(req), "/objects/")) {
+		serve(req, body);
+	} else {
+		hs_reply_json(req, 404, "{}");
+	}
+	json_object_put(body);
+}
+
+static void put_object(void *o)
+{
+	json_object_put(o);
+}
+
+int main(int argc, char **argv)
+{
+	GError *err = NULL;
+
+	if (argc != 2) {
+		fprintf(stderr, "usage: objects ADDRESS\n");
+		return 2;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	loop = uv_default_loop();
+	objects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					put_object);
+	changes = g_ptr_array_new();
+	watches = g_ptr_array_new();
+	if (!hs_listen(loop, argv[1], MAX_BODY, 10000, on_request, NULL,
+		       &err)) {
+		fprintf(stderr, "objects: %s\n", err->message);
+		return 1;
+	}
+	return uv_run(loop, UV_RUN_DEFAULT);
+}
