exchange: end a stream without events; log crashes; find deaf watches

Found beside it by the address sanitizer: a result without a name, and libuv takes a reset after a short read for an orderly end, so that a cut answer without a length looked whole. Ruled out: memory over the limit (peak 12 of 110 MB), an invariant. Change: the server is kept until the answer has begun; a socket's error is asked at its end; names are tied to their values; a fatal signal flushes the log and prints the calls; nodes tell each other the latest change that they know of, and one that is behind for half a second asks and reads anew.

--- a/daemon/gateway.c
+++ b/daemon/gateway.c
@@ -94,6 +94,7 @@
 	GError *err = NULL;
 	struct rts *routes;
 
+	g->changed[FED_CONFIG] = MAX(g->changed[FED_CONFIG], revision);
 	if (g->routes && revision <= g->routes->revision)
 		return;
 	routes = rts_build(doc, revision, &err);
@@ -122,7 +123,10 @@
 	struct gwy *g = user;
 	const struct svt_server *old = svt_find(&g->servers, entry->id);
 	enum svt_state before = old ? old->state : SVT_GONE;
-	const struct svt_server *s = svt_put(&g->servers, gwy_now(g), entry);
+	const struct svt_server *s;
+
+	g->changed[FED_SERVERS] = MAX(g->changed[FED_SERVERS], entry->revision);
+	s = svt_put(&g->servers, gwy_now(g), entry);
 
 	if (s->state != before)
 		lge(LGE_SERVER_CHANGED,
@@ -137,6 +141,7 @@
 {
 	struct gwy *g = user;
 
+	g->changed[FED_SERVERS] = MAX(g->changed[FED_SERVERS], revision);
 	if (svt_remove(&g->servers, id))
 		lge(LGE_SERVER_CHANGED,
 		    "server=%s to=gone revision=%" G_GUINT64_FORMAT, id,
@@ -161,6 +166,8 @@
 {
 	struct gwy *g = user;
 
+	g->changed[FED_ROLLOUTS] =
+		MAX(g->changed[FED_ROLLOUTS], order->revision);
 	sht_on_order(g->shifts, gwy_now(g), order);
 }
 
@@ -407,6 +414,7 @@
 	g->settings_path = path;
 	g->names = &pfn_names;
 	lge_buffer();
+	lge_catch_crashes();
 	seed(g);
 	stat(path, &settings_stat);
 	g->http = hc_new(g->loop);
@@ -420,7 +428,8 @@
 	g->state = pst_new(g);
 	g->fleet = flt_start(g, &err);
 	if (!g->fleet || !open_doors(g, &err)) {
-		fprintf(stderr, "chivegwd: %s\n", err->message);
+		lge(LGE_START_FAILED, "error=\"%s\"", err->message);
+		lge_flush();
 		return EXIT_FAILURE;
 	}
 	start_feed(g);
--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -53,6 +53,7 @@
 	struct rcs recent;
 	uint64_t boot; /* differs between any two runs of a node */
 	uint64_t as_of[FED_TOPICS]; /* revision up to which each is known */
+	uint64_t changed[FED_TOPICS]; /* latest change known of each */
 	uint64_t
 		lost_at[FED_TOPICS]; /* since when the source is away; 0: not */
 	bool listed[FED_TOPICS]; /* read at least once */
--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -383,7 +383,6 @@
 	settle_server(x, end);
 	if (x->answer.result == RTY_GOOD && x->streamed) {
 		rty_on_answer(&x->retry, &x->answer);
-		x->server = NULL;
 		end_stream(x);
 		return;
 	}
--- a/exchange/retry.c
+++ b/exchange/retry.c
@@ -13,10 +13,20 @@
 #define GAP_MIN_MS 500
 #define RETRY_AFTER_MS 150
 
-static const char *const result_names[] = {"good",   "refused", "misdirected",
-					   "unsent", "broken",	"cancelled"};
+static const char *const result_names[] = {
+	[RTY_GOOD] = "good",
+	[RTY_REFUSED] = "refused",
+	[RTY_MISDIRECTED] = "misdirected",
+	[RTY_UNSENT] = "unsent",
+	[RTY_BROKEN] = "broken",
+	[RTY_WEAK] = "weak",
+	[RTY_CANCELLED] = "cancelled",
+};
 static const char *const step_names[] = {
-	"deliver", "deliver-spare", "again", "break-off", "refuse", "forget"};
+	[RTY_DELIVER] = "deliver", [RTY_DELIVER_SPARE] = "deliver-spare",
+	[RTY_AGAIN] = "again",	   [RTY_BREAK_OFF] = "break-off",
+	[RTY_REFUSE] = "refuse",   [RTY_FORGET] = "forget",
+};
 
 /* Returns a result's name for logs. */
 const char *rty_result_name(enum rty_result result)
--- a/fleet/fleet-task.c
+++ b/fleet/fleet-task.c
@@ -16,6 +16,8 @@
 #include "wire/fleet-codec.h"
 
 #define JOIN_EVERY_MS 500
+#define IDLE_TICKS 5
+#define BEHIND_MS 500
 #define LOADS_TO 16 /* nodes that hear of a node's loads at a time */
 #define JUDGES 2 /* nodes that get the reports */
 
@@ -28,6 +30,8 @@
 	uint64_t join_at;
 	uint64_t report_at;
 	bool told_load; /* the last message told of some */
+	uint32_t idle_ticks; /* since that message */
+	uint64_t behind_since[FED_TOPICS]; /* others know more; 0: they don't */
 	uint32_t alive; /* counts last logged */
 	uint32_t suspect;
 };
@@ -274,9 +278,13 @@
 	guint start;
 	size_t len;
 
-	if ((!any && !t->told_load) || !members->len)
+	if (!members->len ||
+	    (!any && !t->told_load && t->idle_ticks++ < IDLE_TICKS))
 		return;
 	t->told_load = any;
+	t->idle_ticks = 0;
+	for (int i = 0; i < FED_TOPICS; i++)
+		l.changed[i] = t->g->changed[i];
 	len = wfl_put_loads(&l, t->g->settings->cluster_key, bytes,
 			    sizeof(bytes));
 	start = rng_below(&t->g->rng, members->len);
@@ -331,7 +339,7 @@
 	head = mbr_on_message(&t->members, now, &msg, out);
 	send_all(t, out);
 	if (head.revision > (g->routes ? g->routes->revision : 0))
-		pst_on_newer(g->state, now, msg.from.addr.ip);
+		pst_on_newer(g->state, now, msg.from.addr.ip, FED_CONFIG);
 	note_changes(t);
 }
 
@@ -367,15 +375,41 @@
 		sht_on_sessions(t->g->shifts, gwy_now(t->g), &s);
 }
 
-static void on_loads(struct flt *t, const uint8_t *bytes, size_t len)
+/*
+ * Another node knows of a change that this one's source has not told. If that
+ * lasts, the source is deaf: asks the other node and reads anew.
+ */
+static void compare_changes(struct flt *t, const struct wfl_loads *l,
+			    uint32_t ip)
+{
+	struct gwy *g = t->g;
+	uint64_t now = gwy_now(g);
+
+	for (int i = 0; i < FED_TOPICS; i++) {
+		if (l->changed[i] <= g->changed[i])
+			continue;
+		if (!t->behind_since[i])
+			t->behind_since[i] = now;
+		else if (now - t->behind_since[i] > BEHIND_MS)
+			pst_on_newer(g->state, now, ip, (enum fed_topic)i);
+	}
+	for (int i = 0; i < FED_TOPICS; i++)
+		if (l->changed[i] == g->changed[i])
+			t->behind_since[i] = 0;
+}
+
+static void on_loads(struct flt *t, const uint8_t *bytes, size_t len,
+		     const struct sockaddr_in *from)
 {
 	struct wfl_loads l;
 
 	if (wfl_get_loads(bytes, len, t->g->settings->cluster_key, &l) !=
 	    WIR_OK)
 		ctr_add(&t->g->ctr, CTR_PEER_BAD, 1);
-	else
+	else {
 		lds_take(&t->g->loads, gwy_now(t->g), &l);
+		compare_changes(t, &l, ntohl(from->sin_addr.s_addr));
+	}
 }
 
 static void on_receive(uv_udp_t *socket, ssize_t len, const uv_buf_t *buf,
@@ -398,7 +432,8 @@
 		on_plan(t, bytes, (size_t)len);
 		break;
 	case WFL_LOADS:
-		on_loads(t, bytes, (size_t)len);
+		on_loads(t, bytes, (size_t)len,
+			 (const struct sockaddr_in *)from);
 		break;
 	case WFL_SESSIONS:
 		on_sessions(t, bytes, (size_t)len);
--- a/fleet/state-task.c
+++ b/fleet/state-task.c
@@ -13,6 +13,7 @@
 
 #define ASK_EVERY_MS 300
 #define LOST_FOR_MS 150
+#define REFRESH_EVERY_MS 2000
 #define ANSWER_MS 400
 #define MAX_ANSWER_BYTES (8 * 1024 * 1024)
 #define KEY_HEADER "X-Chivegw-Cluster-Key"
@@ -23,7 +24,7 @@
 	GString *body;
 	int status;
 	uint64_t asked_at;
-	uint64_t refreshed_at;
+	uint64_t refreshed_at[FED_TOPICS];
 	char address[32];
 };
 
@@ -264,14 +265,16 @@
 }
 
 /*
- * Another node has a newer configuration: its watch has told it, or this
- * node's is deaf. Asks that node, and the source anew.
+ * Another node knows of something newer: its watch was faster, or this node's
+ * is deaf. Asks that node, and the source anew.
  */
-void pst_on_newer(struct pst *t, uint64_t now, uint32_t ip)
+void pst_on_newer(struct pst *t, uint64_t now, uint32_t ip,
+		  enum fed_topic topic)
 {
 	ask(t, now, ip);
-	if (t->g->lost_at[FED_CONFIG] || now - t->refreshed_at < ANSWER_MS * 5)
+	if (t->g->lost_at[topic] ||
+	    now - t->refreshed_at[topic] < REFRESH_EVERY_MS)
 		return;
-	t->refreshed_at = now;
-	pfd_refresh(t->g->feed, FED_CONFIG);
+	t->refreshed_at[topic] = now;
+	pfd_refresh(t->g->feed, topic);
 }
--- a/fleet/state-task.h
+++ b/fleet/state-task.h
@@ -3,6 +3,8 @@
 
 #include <stdint.h>
 
+#include "exchange/feed.h"
+
 struct gwy;
 struct hs_req;
 
@@ -16,7 +18,8 @@
 
 struct pst *pst_new(struct gwy *g);
 void pst_tick(struct pst *t, uint64_t now);
-void pst_on_newer(struct pst *t, uint64_t now, uint32_t ip);
+void pst_on_newer(struct pst *t, uint64_t now, uint32_t ip,
+		  enum fed_topic topic);
 void pst_serve(struct gwy *g, struct hs_req *req);
 
 #endif
--- a/http/client.c
+++ b/http/client.c
@@ -486,7 +486,7 @@
 
 	if (!n || c->closed)
 		return;
-	if (n == UV_EOF) {
+	if (n == UV_EOF && !sck_was_reset(&c->tcp)) {
 		take_end(c);
 	} else if (n < 0) {
 		fail_conn(c, HC_BROKEN);
--- a/http/socket.c
+++ b/http/socket.c
@@ -8,6 +8,22 @@
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES 3
 
+/*
+ * Tells whether the end of a stream that libuv reports was a reset: after a
+ * short read it takes a hang-up for an orderly end without asking the socket.
+ */
+bool sck_was_reset(uv_tcp_t *tcp)
+{
+	int error = 0;
+	socklen_t len = sizeof(error);
+	uv_os_fd_t fd;
+
+	if (uv_fileno((uv_handle_t *)tcp, &fd) != 0)
+		return false;
+	return getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len) == 0 &&
+	       error != 0;
+}
+
 /*
  * Sets what all connections have: no delay of small writes, an end to bytes
  * that nobody acknowledges, and probes that find a silent peer.
--- a/http/socket.h
+++ b/http/socket.h
@@ -1,8 +1,10 @@
 #ifndef HTTP_SOCKET_H
 #define HTTP_SOCKET_H
 
+#include <stdbool.h>
 #include <uv.h>
 
+bool sck_was_reset(uv_tcp_t *tcp);
 void sck_prepare(uv_tcp_t *tcp, unsigned int user_timeout_ms);
 
 #endif
--- a/log-event.c
+++ b/log-event.c
@@ -1,12 +1,15 @@
 #include "log-event.h"
 
+#include <execinfo.h>
 #include <fcntl.h>
+#include <signal.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <time.h>
 #include <unistd.h>
 
 #define LOG_DOMAIN "chivegw"
+#define MAX_FRAMES 32
 #define MAX_HELD_BYTES (128 * 1024)
 
 static const char *node_name = "-";
@@ -129,6 +132,32 @@
 	buffered = true;
 }
 
+/*
+ * Writes what is held, the signal and the calls that led to it, and lets the
+ * signal end the process. Only async-signal-safe calls after the flush.
+ */
+static void on_crash(int number)
+{
+	void *frames[MAX_FRAMES];
+	int n = backtrace(frames, MAX_FRAMES);
+
+	signal(number, SIG_DFL);
+	lge_flush();
+	dprintf(STDOUT_FILENO, "- error %s E%d node ends by a signal: signal=%d\n",
+		node_name, LGE_CRASHED, number);
+	backtrace_symbols_fd(frames, n, STDOUT_FILENO);
+	raise(number);
+}
+
+/* Makes a crash leave a trace in the log. */
+void lge_catch_crashes(void)
+{
+	static const int signals[] = {SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGABRT};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(signals); i++)
+		signal(signals[i], on_crash);
+}
+
 /* Logs a numbered event with its particulars. */
 void lge(enum lge_event event, const char *fmt, ...)
 {
--- a/log-event.h
+++ b/log-event.h
@@ -9,6 +9,8 @@
  * are never used again for something else.
  */
 #define LGE_LIST(X)                                                            \
+	X(START_FAILED, 103, ERROR, "node cannot start")                       \
+	X(CRASHED, 105, ERROR, "node ends by a signal")                        \
 	X(STARTED, 100, MESSAGE, "node started")                               \
 	X(STOPPING, 101, MESSAGE, "node stopping, no new work")                \
 	X(STOPPED, 102, MESSAGE, "node stopped")                               \
@@ -56,6 +58,7 @@
 void lge_setup(const char *node);
 void lge_buffer(void);
 void lge_flush(void);
+void lge_catch_crashes(void);
 void lge(enum lge_event event, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
 
 #endif
--- a/t/t0011-routes.sh
+++ b/t/t0011-routes.sh
@@ -125,6 +125,9 @@
 expect "a client that goes on" 200 "$(send 1 POST /talk/stream -H 'X-Chivegw-Model: large' -H 'Last-Event-Id: 3' -d x)"
 expect "only later events" 2 "$(grep -c data "$WORK/body")"
 
+expect "a client that has all of it" 200 "$(send 1 POST /talk/stream -H 'X-Chivegw-Model: large' -H 'Last-Event-Id: 5' -d x)"
+expect "no events" "" "$(cat "$WORK/body")"
+
 say "a client that leaves ends the run"
 left() {
 	local n sum=0
--- a/t/unit/exchange_test.cc
+++ b/t/unit/exchange_test.cc
@@ -280,6 +280,13 @@
 	EXPECT_EQ(r.sent, 2u);
 }
 
+TEST(Retry, EveryResultAndStepHasAName)
+{
+	EXPECT_STREQ(rty_result_name(RTY_WEAK), "weak");
+	EXPECT_STREQ(rty_result_name(RTY_CANCELLED), "cancelled");
+	EXPECT_STREQ(rty_step_name(RTY_FORGET), "forget");
+}
+
 TEST(Retry, AStreamThatBeganNeverGetsAnotherHead)
 {
 	Table t;
--- a/wire/fleet-codec.c
+++ b/wire/fleet-codec.c
@@ -223,6 +223,7 @@
 		.list = {.list_len = l->n, .list_val = list},
 	};
 
+	memcpy(w.changed, l->changed, sizeof(w.changed));
 	for (uint32_t i = 0; i < l->n; i++) {
 		list[i].server = l->load[i].server;
 		list[i].decode = l->load[i].decode;
@@ -244,6 +245,7 @@
 	fault = get(PROC_LOADS, (xdrproc_t)xdr_fleet_loads, &w, key, buf, len);
 	if (fault == WIR_OK) {
 		g_strlcpy(l->node, w.node, sizeof(l->node));
+		memcpy(l->changed, w.changed, sizeof(l->changed));
 		l->n = MIN(w.list.list_len, WFL_MAX_LOADS);
 		for (uint32_t i = 0; i < l->n; i++) {
 			const struct fleet_load *from = &w.list.list_val[i];
--- a/wire/fleet-codec.h
+++ b/wire/fleet-codec.h
@@ -42,6 +42,7 @@
 };
 
 #define WFL_MAX_LOADS 48
+#define WFL_TOPICS 3
 
 struct wfl_load {
 	uint64_t server; /* hash of its id */
@@ -50,9 +51,13 @@
 	uint32_t in_flight;
 };
 
-/* What the sender's requests put on the servers. */
+/*
+ * What the sender's requests put on the servers, and how new its knowledge
+ * is.
+ */
 struct wfl_loads {
 	char node[SFT_NAME_MAX];
+	uint64_t changed[WFL_TOPICS]; /* latest change known, by topic */
 	uint32_t n;
 	struct wfl_load load[WFL_MAX_LOADS];
 };
--- a/wire/fleet-xdr.c
+++ b/wire/fleet-xdr.c
@@ -198,8 +198,12 @@
 {
 	register int32_t *buf;
 
+	int i;
 	 if (!xdr_string (xdrs, &objp->node, FLEET_NAME_MAX))
 		 return FALSE;
+	 if (!xdr_vector (xdrs, (char *)objp->changed, FLEET_TOPICS,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, FLEET_LOADS_MAX,
 		sizeof (fleet_load), (xdrproc_t) xdr_fleet_load))
 		 return FALSE;
--- a/wire/fleet.h
+++ b/wire/fleet.h
@@ -16,6 +16,7 @@
 #define FLEET_NAME_MAX 127
 #define FLEET_ROUTES_MAX 12
 #define FLEET_CELLS 8
+#define FLEET_TOPICS 3
 #define FLEET_LOADS_MAX 48
 #define FLEET_SESSIONS_MAX 64
 
@@ -67,6 +68,7 @@
 
 struct fleet_loads {
 	char *node;
+	u_quad_t changed[FLEET_TOPICS];
 	struct {
 		u_int list_len;
 		fleet_load *list_val;
--- a/wire/fleet.x
+++ b/wire/fleet.x
@@ -7,6 +7,7 @@
 const FLEET_NAME_MAX = 127;
 const FLEET_ROUTES_MAX = 12;
 const FLEET_CELLS = 8;
+const FLEET_TOPICS = 3;
 const FLEET_LOADS_MAX = 48;
 const FLEET_SESSIONS_MAX = 64;
 
@@ -47,6 +48,7 @@
 
 struct fleet_loads {
 	string node<FLEET_NAME_MAX>;
+	unsigned hyper changed[FLEET_TOPICS];
 	fleet_load list<FLEET_LOADS_MAX>;
 };
 
