--- a/builtin/cli.h
+++ b/builtin/cli.h
@@ -8,7 +8,7 @@
 #include <uv.h>
 
 #include "http/client.h"
-#include "platform/store-task.h"
+#include "store/store-task.h"
 
 /* What subcommands share: arguments, one call at a time, the platform. */
 #define CLI_PLATFORM_ENV "CHIVEGW_PLATFORM"
--- a/config/change-task.h
+++ b/config/change-task.h
@@ -7,7 +7,7 @@
 #include <stdint.h>
 #include <uv.h>
 
-#include "platform/store-task.h"
+#include "store/store-task.h"
 
 /*
  * Changes the stored configuration: reads it, edits it, writes the sections
--- a/daemon/gateway.c
+++ b/daemon/gateway.c
@@ -8,6 +8,7 @@
 #include <sys/random.h>
 #include <sys/stat.h>
 
+#include "daemon/gateway-metrics.h"
 #include "daemon/version.h"
 #include "exchange/exchange-task.h"
 #include "fleet/fleet-task.h"
@@ -238,7 +239,7 @@
 		return;
 	}
 	text = g_string_new(NULL);
-	ctr_text(&g->ctr, text);
+	gwm_text(g, gwy_now(g), text);
 	hs_reply(req, 200, "text/plain; version=0.0.4", text->str, text->len);
 }
 
--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -14,11 +14,14 @@
 #include "exchange/names.h"
 #include "exchange/routes.h"
 #include "exchange/servers.h"
+#include "histogram.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "rng.h"
 #include "session/recent.h"
 
+#define GWY_KINDS 3
+
 struct pfd;
 struct flt;
 struct pst;
@@ -57,6 +60,8 @@
 	uint64_t
 		lost_at[FED_TOPICS]; /* since when the source is away; 0: not */
 	bool listed[FED_TOPICS]; /* read at least once */
+	struct hst request_ms[GWY_KINDS]; /* by the route's kind */
+	struct hst first_event_ms;
 	size_t open_requests;
 	bool draining;
 	uint64_t drain_at;
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -12,7 +12,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "limit/limit.h"
-#include "platform/store-task.h"
+#include "store/store-task.h"
 #include "rng.h"
 #include "route/quality.h"
 
--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -114,6 +114,10 @@
 {
 	uint64_t now = gwy_now(x->g);
 
+	hst_add(&x->g->request_ms[x->route->kind],
+		(double)(now - x->started_at));
+	if (x->events.count)
+		hst_add(&x->g->first_event_ms, x->first_ms);
 	lge(LGE_REQUEST_ENDED,
 	    "request=%s route=%s kind=%s org=%s service=%s server=%s model=%s "
 	    "version=%s session=%016" G_GINT64_MODIFIER
--- /dev/null
+++ b/histogram.c
@@ -0,0 +1,58 @@
+#include "histogram.h"
+
+static const double bounds[HST_BUCKETS] = {
+	1,  2,	 3,   4,   6,	8,   12,  16,	24,   32,   48,	  64,
+	96, 128, 192, 256, 384, 512, 768, 1024, 1536, 2048, 4096, 8192};
+
+static int bucket_of(double ms)
+{
+	int i = 0;
+
+	while (i < HST_BUCKETS && ms > bounds[i])
+		i++;
+	return i;
+}
+
+/* Counts a time. */
+void hst_add(struct hst *h, double ms)
+{
+	h->count[bucket_of(ms)]++;
+	h->total++;
+	h->sum += ms;
+}
+
+/* Returns the upper bound of the bucket that holds the quantile, 0 if empty. */
+double hst_quantile(const struct hst *h, double q)
+{
+	uint64_t seen = 0;
+
+	for (int i = 0; i < HST_BUCKETS; i++) {
+		seen += h->count[i];
+		if (h->total && (double)seen >= q * (double)h->total)
+			return bounds[i];
+	}
+	return h->total ? 2 * bounds[HST_BUCKETS - 1] : 0;
+}
+
+/* Appends the histogram; `label` is such as `kind="streaming"`. */
+void hst_text(const struct hst *h, const char *name, const char *label,
+	      GString *out)
+{
+	uint64_t seen = 0;
+
+	for (int i = 0; i < HST_BUCKETS; i++) {
+		seen += h->count[i];
+		g_string_append_printf(
+			out,
+			"chivegw_%s_bucket{%s,le=\"%.0f\"} %" G_GUINT64_FORMAT
+			"\n",
+			name, label, bounds[i], seen);
+	}
+	g_string_append_printf(
+		out,
+		"chivegw_%s_bucket{%s,le=\"+Inf\"} %" G_GUINT64_FORMAT "\n"
+		"chivegw_%s_sum{%s} %.1f\nchivegw_%s_count{%s} "
+		"%" G_GUINT64_FORMAT "\n",
+		name, label, h->total, name, label, h->sum, name, label,
+		h->total);
+}
--- a/log-event.c
+++ b/log-event.c
@@ -143,8 +143,9 @@
 
 	signal(number, SIG_DFL);
 	lge_flush();
-	dprintf(STDOUT_FILENO, "- error %s E%d node ends by a signal: signal=%d\n",
-		node_name, LGE_CRASHED, number);
+	dprintf(STDOUT_FILENO,
+		"- error %s E%d node ends by a signal: signal=%d\n", node_name,
+		LGE_CRASHED, number);
 	backtrace_symbols_fd(frames, n, STDOUT_FILENO);
 	raise(number);
 }
--- a/rollout/shift.c
+++ b/rollout/shift.c
@@ -21,7 +21,7 @@
 #define SLOW_EVENT 2.5
 #define SLOW_FIRST 6.0
 
-static const char *const state_names[] = {"trial", "reverted", "completed"};
+static const char *const state_names[] = {"trial", "rolled-back", "completed"};
 
 /* Returns a state's name for logs. */
 const char *sft_state_name(enum sft_state state)
--- a/platform/store-task.c
+++ b/store/store-task.c
@@ -1,4 +1,4 @@
-#include "platform/store-task.h"
+#include "store/store-task.h"
 
 #include <glib.h>
 #include <stdio.h>
--- a/platform/store-task.h
+++ b/store/store-task.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_STORE_TASK_H
-#define PLATFORM_STORE_TASK_H
+#ifndef STORE_STORE_TASK_H
+#define STORE_STORE_TASK_H
 
 #include <stdbool.h>
 #include <stddef.h>
