fleet: in a large fleet few nodes watch the store for all

A removal older than the entry changes nothing; a server found under another's address is only left out, not gone.

--- a/daemon/gateway.c
+++ b/daemon/gateway.c
@@ -143,7 +143,7 @@
 	struct gwy *g = user;
 
 	g->changed[FED_SERVERS] = MAX(g->changed[FED_SERVERS], revision);
-	if (svt_remove(&g->servers, id))
+	if (svt_remove(&g->servers, id, revision))
 		lge(LGE_SERVER_CHANGED,
 		    "server=%s to=gone revision=%" G_GUINT64_FORMAT, id,
 		    revision);
--- a/exchange/servers.c
+++ b/exchange/servers.c
@@ -90,6 +90,7 @@
 	s->failure = 0;
 	s->slowness = 1;
 	s->reported_at = 0;
+	s->misdirected = false;
 }
 
 /*
@@ -122,12 +123,15 @@
 	return s;
 }
 
-/* A server's entry is gone. Returns whether it was there. */
-bool svt_remove(struct svt *t, const char *id)
+/*
+ * A server's entry is gone as of a revision, 0 if that is not known. Returns
+ * whether it was there; an older word than the entry's own changes nothing.
+ */
+bool svt_remove(struct svt *t, const char *id, uint64_t revision)
 {
 	struct svt_server *s = svt_find(t, id);
 
-	if (!s || s->state == SVT_GONE)
+	if (!s || s->state == SVT_GONE || (revision && revision < s->revision))
 		return false;
 	s->state = SVT_GONE;
 	return true;
@@ -169,6 +173,22 @@
 	}
 }
 
+/* Returns a digest of which servers are listed, and which of them drain. */
+uint64_t svt_digest(const struct svt *t)
+{
+	uint64_t digest = 0;
+
+	for (guint i = 0; i < t->all->len; i++) {
+		const struct svt_server *s = t->all->pdata[i];
+		uint64_t state = s->state == SVT_DRAINING;
+
+		if (s->state != SVT_GONE)
+			digest ^= XXH3_64bits_withSeed(&s->hash,
+						       sizeof(s->hash), state);
+	}
+	return digest;
+}
+
 /*
  * Returns the load of a server in requests: this node's own exactly, those
  * of others by the server's last answer, if that is fresh, or by what the
@@ -212,9 +232,9 @@
 static bool is_candidate(const struct svt_server *s, uint64_t now,
 			 const struct svt_wish *w, bool ejected_too)
 {
-	return s->state == SVT_READY && !strcmp(s->service, w->service) &&
-	       version_fits(w, s) && !was_tried(w, s) &&
-	       (ejected_too || s->ejected_until <= now);
+	return s->state == SVT_READY && !s->misdirected &&
+	       !strcmp(s->service, w->service) && version_fits(w, s) &&
+	       !was_tried(w, s) && (ejected_too || s->ejected_until <= now);
 }
 
 static double weighed_load(const struct svt_server *s, uint64_t now,
@@ -460,7 +480,7 @@
 		eject(s, now);
 		break;
 	case SVT_MISDIRECTED:
-		s->state = SVT_GONE;
+		s->misdirected = true;
 		break;
 	case SVT_REFUSED:
 	case SVT_NEUTRAL:
--- a/exchange/servers.h
+++ b/exchange/servers.h
@@ -63,6 +63,7 @@
 	uint32_t failures; /* in a row */
 	uint64_t ejected_until;
 	uint64_t ejections; /* in a row */
+	bool misdirected; /* another server has its address */
 	bool listed; /* mark while a list is taken */
 };
 
@@ -108,10 +109,11 @@
 struct svt_server *svt_find(const struct svt *t, const char *id);
 struct svt_server *svt_put(struct svt *t, uint64_t now,
 			   const struct svt_entry *entry);
-bool svt_remove(struct svt *t, const char *id);
+bool svt_remove(struct svt *t, const char *id, uint64_t revision);
 void svt_begin_list(struct svt *t);
 uint32_t svt_end_list(struct svt *t);
 void svt_sweep(struct svt *t);
+uint64_t svt_digest(const struct svt *t);
 
 struct svt_server *svt_pick(struct svt *t, uint64_t now,
 			    const struct svt_wish *wish, struct rng *rng);
--- a/fleet/fleet-task.c
+++ b/fleet/fleet-task.c
@@ -11,6 +11,7 @@
 #include "http/address.h"
 #include "log-event.h"
 #include "member/member.h"
+#include "platform/feed-task.h"
 #include "rollout/shift-task.h"
 #include "wire/codec.h"
 #include "wire/fleet-codec.h"
@@ -18,6 +19,11 @@
 #define JOIN_EVERY_MS 500
 #define IDLE_TICKS 5
 #define BEHIND_MS 500
+#define FOLLOW_FROM 16
+#define WATCHERS 4
+#define SOURCE_EVERY_MS 200
+#define SOURCE_FRESH_MS 700
+#define UNLIKE_MS 1200
 #define LOADS_TO 16 /* nodes that hear of a node's loads at a time */
 #define JUDGES 2 /* nodes that get the reports */
 
@@ -31,6 +37,10 @@
 	uint64_t report_at;
 	bool told_load; /* the last message told of some */
 	uint32_t idle_ticks; /* since that message */
+	bool following; /* other nodes watch the source */
+	uint64_t source_told_at;
+	uint64_t source_heard_at; /* of a node whose source answers */
+	uint64_t unlike_since; /* what such a node knows is not known here */
 	uint64_t behind_since[FED_TOPICS]; /* others know more; 0: they don't */
 	uint32_t alive; /* counts last logged */
 	uint32_t suspect;
@@ -119,17 +129,16 @@
 	send_all(t, out);
 }
 
-static uint64_t rank_hash(const char *duty, const char *node)
+static uint64_t rank_hash(uint64_t duty, const char *node)
 {
-	XXH3_state_t *state = XXH3_createState();
-	uint64_t hash;
+	const uint64_t both[2] = {duty, XXH3_64bits(node, strlen(node))};
 
-	XXH3_64bits_reset(state);
-	XXH3_64bits_update(state, duty, strlen(duty) + 1);
-	XXH3_64bits_update(state, node, strlen(node));
-	hash = XXH3_64bits_digest(state);
-	XXH3_freeState(state);
-	return hash;
+	return XXH3_64bits(both, sizeof(both));
+}
+
+static uint64_t duty_hash(const char *duty)
+{
+	return XXH3_64bits(duty, strlen(duty));
 }
 
 static bool is_live(const struct mbr_member *m)
@@ -145,14 +154,15 @@
 uint32_t flt_rank(const struct flt *t, const char *duty)
 {
 	const GArray *members = t->members.members;
-	uint64_t mine = rank_hash(duty, t->g->settings->node);
+	uint64_t hash = duty_hash(duty);
+	uint64_t mine = rank_hash(hash, t->g->settings->node);
 	uint32_t rank = 0;
 
 	for (guint i = 0; i < members->len; i++) {
 		const struct mbr_member *m =
 			&g_array_index(members, struct mbr_member, i);
 
-		rank += is_live(m) && rank_hash(duty, m->is.name) < mine;
+		rank += is_live(m) && rank_hash(hash, m->is.name) < mine;
 	}
 	return rank;
 }
@@ -164,46 +174,77 @@
 	       mbr_count(&t->members, MBR_SUSPECT) + 1;
 }
 
-static uint32_t rank_of(const struct flt *t, const char *duty,
-			const struct mbr_member *m)
+/* Finds the first live members by rank, other than this node. */
+static uint32_t first_others(const struct flt *t, const char *duty,
+			     const struct mbr_member **first, uint32_t most)
 {
 	const GArray *members = t->members.members;
-	uint64_t its = rank_hash(duty, m->is.name);
-	uint32_t rank = rank_hash(duty, t->g->settings->node) < its;
+	uint64_t hash = duty_hash(duty);
+	uint64_t ranks[JUDGES] = {0};
+	uint32_t n = 0;
 
 	for (guint i = 0; i < members->len; i++) {
-		const struct mbr_member *o =
+		const struct mbr_member *m =
 			&g_array_index(members, struct mbr_member, i);
+		uint64_t rank = rank_hash(hash, m->is.name);
+		uint32_t at = n;
 
-		rank += is_live(o) && rank_hash(duty, o->is.name) < its;
+		if (!is_live(m))
+			continue;
+		while (at && rank < ranks[at - 1])
+			at--;
+		if (at >= most)
+			continue;
+		n = MIN(n + 1, most);
+		for (uint32_t k = n - 1; k > at; k--) {
+			ranks[k] = ranks[k - 1];
+			first[k] = first[k - 1];
+		}
+		ranks[at] = rank;
+		first[at] = m;
 	}
-	return rank;
+	return n;
 }
 
-static void send_report(struct flt *t, const struct sft *s, uint64_t now)
+static void send_to_judges(struct flt *t, const char *duty,
+			   const uint8_t *bytes, size_t len)
+{
+	const struct mbr_member *first[JUDGES];
+	uint32_t n = first_others(t, duty, first, JUDGES);
+
+	for (uint32_t i = 0; i < n; i++)
+		send_bytes(t, first[i]->is.addr, bytes, len);
+}
+
+static void send_to_all(struct flt *t, const uint8_t *bytes, size_t len)
 {
 	const GArray *members = t->members.members;
-	uint8_t bytes[WIR_MAX_BYTES];
-	struct wfl_report r;
-	size_t len;
 
-	sht_fill_report(t->g->shifts, s, now, &r);
-	len = wfl_put_report(&r, t->g->settings->cluster_key, bytes,
-			     sizeof(bytes));
 	for (guint i = 0; i < members->len; i++) {
 		const struct mbr_member *m =
 			&g_array_index(members, struct mbr_member, i);
 
-		if (is_live(m) && rank_of(t, s->service, m) < JUDGES)
+		if (m->is.state != MBR_LEAVING && m->is.state != MBR_DEAD)
 			send_bytes(t, m->is.addr, bytes, len);
 	}
 }
 
-/* Tells the plan to the first `most` nodes by rank. */
+static void send_report(struct flt *t, const struct sft *s, uint64_t now)
+{
+	uint8_t bytes[WIR_MAX_BYTES];
+	struct wfl_report r;
+	size_t len;
+
+	sht_fill_report(t->g->shifts, s, now, &r);
+	len = wfl_put_report(&r, t->g->settings->cluster_key, bytes,
+			     sizeof(bytes));
+	send_to_judges(t, s->service, bytes, len);
+}
+
+/* Tells the plan to all, or only to the nodes that judge. */
 static void send_plan(struct flt *t, const struct sft *s, uint64_t now,
-		      uint32_t most)
+		      bool to_all)
 {
-	const GArray *members = t->members.members;
 	uint8_t bytes[WIR_MAX_BYTES];
 	struct wfl_plan p = {.plan = s->plan};
 	size_t len;
@@ -214,15 +255,10 @@
 	g_strlcpy(p.target, s->target, sizeof(p.target));
 	len = wfl_put_plan(&p, t->g->settings->cluster_key, bytes,
 			   sizeof(bytes));
-	for (guint i = 0; i < members->len; i++) {
-		const struct mbr_member *m =
-			&g_array_index(members, struct mbr_member, i);
-
-		if (m->is.state == MBR_LEAVING)
-			continue;
-		if (most == UINT32_MAX || rank_of(t, s->service, m) < most)
-			send_bytes(t, m->is.addr, bytes, len);
-	}
+	if (to_all)
+		send_to_all(t, bytes, len);
+	else
+		send_to_judges(t, s->service, bytes, len);
 }
 
 /* Tells the counts to the judges, and the plan to all if it is ours to make. */
@@ -238,35 +274,69 @@
 			continue;
 		send_report(t, s, now);
 		if (!flt_rank(t, s->service))
-			send_plan(t, s, now, UINT32_MAX);
+			send_plan(t, s, now, true);
 		else if (s->plan.state == SFT_REVERTED)
-			send_plan(t, s, now, JUDGES);
+			send_plan(t, s, now, false);
 	}
 }
 
 static void tell_sessions(struct flt *t)
 {
-	const GArray *members = t->members.members;
 	struct wfl_sessions s;
 
 	for (uint32_t i = 0; i < sht_count(t->g->shifts); i++) {
 		uint8_t bytes[WIR_MAX_BYTES];
-		size_t len;
 
-		if (!sht_take_sessions(t->g->shifts, i, &s))
-			continue;
-		len = wfl_put_sessions(&s, t->g->settings->cluster_key, bytes,
-				       sizeof(bytes));
-		for (guint k = 0; k < members->len; k++) {
-			const struct mbr_member *m =
-				&g_array_index(members, struct mbr_member, k);
-
-			if (is_live(m))
-				send_bytes(t, m->is.addr, bytes, len);
-		}
+		if (sht_take_sessions(t->g->shifts, i, &s))
+			send_to_all(t, bytes,
+				    wfl_put_sessions(
+					    &s, t->g->settings->cluster_key,
+					    bytes, sizeof(bytes)));
 	}
 }
 
+static bool is_large(const struct flt *t)
+{
+	return flt_live(t) > FOLLOW_FROM;
+}
+
+/* In a large fleet: tells all what the source of this node has told. */
+static void tell_source(struct flt *t, uint64_t now)
+{
+	const struct gwy *g = t->g;
+	uint8_t bytes[WIR_MAX_BYTES];
+	struct wfl_source s = {.servers = svt_digest(&g->servers)};
+
+	if (!is_large(t) || t->following || now < t->source_told_at)
+		return;
+	t->source_told_at = now + SOURCE_EVERY_MS;
+	for (int i = 0; i < FED_TOPICS; i++) {
+		if (g->lost_at[i] || !g->listed[i])
+			return;
+		s.changed[i] = g->changed[i];
+	}
+	g_strlcpy(s.node, g->settings->node, sizeof(s.node));
+	send_to_all(t, bytes,
+		    wfl_put_source(&s, g->settings->cluster_key, bytes,
+				   sizeof(bytes)));
+}
+
+/*
+ * In a large fleet only the first nodes in rank watch the source, so that its
+ * load does not grow with the fleet. The others follow them, as long as one of
+ * them was heard of a moment ago.
+ */
+static void follow(struct flt *t, uint64_t now)
+{
+	bool heard = t->source_heard_at &&
+		     now - t->source_heard_at < SOURCE_FRESH_MS;
+	bool unlike = t->unlike_since && now - t->unlike_since > UNLIKE_MS;
+
+	t->following = is_large(t) && heard && !unlike && gwy_knows_all(t->g) &&
+		       flt_rank(t, "watch") >= WATCHERS;
+	pfd_pause(t->g->feed, t->following);
+}
+
 /* Tells some other nodes what this one puts on the servers. */
 static void tell_loads(struct flt *t)
 {
@@ -311,6 +381,8 @@
 	tell_shifts(t, now);
 	tell_sessions(t);
 	tell_loads(t);
+	tell_source(t, now);
+	follow(t, now);
 	note_changes(t);
 }
 
@@ -375,18 +447,22 @@
 		sht_on_sessions(t->g->shifts, gwy_now(t->g), &s);
 }
 
+static uint32_t ip_of(const struct sockaddr_in *from)
+{
+	return ntohl(from->sin_addr.s_addr);
+}
+
 /*
  * Another node knows of a change that this one's source has not told. If that
  * lasts, the source is deaf: asks the other node and reads anew.
  */
-static void compare_changes(struct flt *t, const struct wfl_loads *l,
-			    uint32_t ip)
+static void compare_changes(struct flt *t, const uint64_t *changed, uint32_t ip)
 {
 	struct gwy *g = t->g;
 	uint64_t now = gwy_now(g);
 
 	for (int i = 0; i < FED_TOPICS; i++) {
-		if (l->changed[i] <= g->changed[i])
+		if (changed[i] <= g->changed[i])
 			continue;
 		if (!t->behind_since[i])
 			t->behind_since[i] = now;
@@ -394,10 +470,41 @@
 			pst_on_newer(g->state, now, ip, (enum fed_topic)i);
 	}
 	for (int i = 0; i < FED_TOPICS; i++)
-		if (l->changed[i] == g->changed[i])
+		if (changed[i] == g->changed[i])
 			t->behind_since[i] = 0;
 }
 
+static bool knows_as_much(const struct gwy *g, const uint64_t *changed)
+{
+	for (int i = 0; i < FED_TOPICS; i++)
+		if (g->changed[i] < changed[i])
+			return false;
+	return true;
+}
+
+static void on_source(struct flt *t, const uint8_t *bytes, size_t len,
+		      const struct sockaddr_in *from)
+{
+	struct wfl_source s;
+	uint64_t now = gwy_now(t->g);
+
+	if (wfl_get_source(bytes, len, t->g->settings->cluster_key, &s) !=
+	    WIR_OK) {
+		ctr_add(&t->g->ctr, CTR_PEER_BAD, 1);
+		return;
+	}
+	t->source_heard_at = now;
+	if (s.servers == svt_digest(&t->g->servers) &&
+	    knows_as_much(t->g, s.changed)) {
+		t->unlike_since = 0;
+		return;
+	}
+	if (!t->unlike_since)
+		t->unlike_since = now;
+	if (t->following)
+		pst_ask(t->g->state, now, ip_of(from));
+}
+
 static void on_loads(struct flt *t, const uint8_t *bytes, size_t len,
 		     const struct sockaddr_in *from)
 {
@@ -408,7 +515,7 @@
 		ctr_add(&t->g->ctr, CTR_PEER_BAD, 1);
 	else {
 		lds_take(&t->g->loads, gwy_now(t->g), &l);
-		compare_changes(t, &l, ntohl(from->sin_addr.s_addr));
+		compare_changes(t, l.changed, ip_of(from));
 	}
 }
 
@@ -435,6 +542,10 @@
 		on_loads(t, bytes, (size_t)len,
 			 (const struct sockaddr_in *)from);
 		break;
+	case WFL_SOURCE:
+		on_source(t, bytes, (size_t)len,
+			  (const struct sockaddr_in *)from);
+		break;
 	case WFL_SESSIONS:
 		on_sessions(t, bytes, (size_t)len);
 		break;
--- a/fleet/state-task.c
+++ b/fleet/state-task.c
@@ -11,7 +11,7 @@
 #include "platform/feed-task.h"
 #include "rollout/shift-task.h"
 
-#define ASK_EVERY_MS 300
+#define ASK_EVERY_MS 150
 #define LOST_FOR_MS 150
 #define REFRESH_EVERY_MS 2000
 #define ANSWER_MS 400
@@ -209,7 +209,8 @@
 
 static const struct hc_events events = {on_head, on_data, on_done};
 
-static void ask(struct pst *t, uint64_t now, uint32_t ip)
+/* Asks the node at that address, unless an answer is awaited. */
+void pst_ask(struct pst *t, uint64_t now, uint32_t ip)
 {
 	struct gwy *g = t->g;
 	const char *colon = strrchr(g->settings->operator_address, ':');
@@ -261,7 +262,7 @@
 		return;
 	ip = flt_any_ip(t->g->fleet, &t->g->rng);
 	if (ip)
-		ask(t, now, ip);
+		pst_ask(t, now, ip);
 }
 
 /*
@@ -271,7 +272,7 @@
 void pst_on_newer(struct pst *t, uint64_t now, uint32_t ip,
 		  enum fed_topic topic)
 {
-	ask(t, now, ip);
+	pst_ask(t, now, ip);
 	if (t->g->lost_at[topic] ||
 	    now - t->refreshed_at[topic] < REFRESH_EVERY_MS)
 		return;
--- a/log-event.c
+++ b/log-event.c
@@ -10,6 +10,7 @@
 
 #define LOG_DOMAIN "chivegw"
 #define MAX_FRAMES 32
+#define MAX_LINE 256
 #define MAX_HELD_BYTES (128 * 1024)
 
 static const char *node_name = "-";
@@ -134,20 +135,30 @@
 
 /*
  * Writes what is held, the signal and the calls that led to it, and lets the
- * signal end the process. Only async-signal-safe calls after the flush.
+ * signal end the process.
  */
 static void on_crash(int number)
 {
 	void *frames[MAX_FRAMES];
-	int n = backtrace(frames, MAX_FRAMES);
+	char line[MAX_LINE];
+	ssize_t written = 0;
+	int n, len;
 
+	/* None of these is promised to be safe here; the process ends anyway. */
+	/* NOLINTBEGIN(bugprone-signal-handler) */
 	signal(number, SIG_DFL);
-	lge_flush();
-	dprintf(STDOUT_FILENO,
-		"- error %s E%d node ends by a signal: signal=%d\n", node_name,
-		LGE_CRASHED, number);
-	backtrace_symbols_fd(frames, n, STDOUT_FILENO);
+	n = backtrace(frames, MAX_FRAMES);
+	len = snprintf(line, sizeof(line),
+		       "- error %s E%d node ends by a signal: signal=%d\n",
+		       node_name, LGE_CRASHED, number);
+	if (held)
+		written = write(STDOUT_FILENO, held->str, held->len);
+	if (written >= 0)
+		written = write(STDOUT_FILENO, line, (size_t)len);
+	if (written >= 0)
+		backtrace_symbols_fd(frames, n, STDOUT_FILENO);
 	raise(number);
+	/* NOLINTEND(bugprone-signal-handler) */
 }
 
 /* Makes a crash leave a trace in the log. */
--- a/t/unit/exchange_test.cc
+++ b/t/unit/exchange_test.cc
@@ -404,7 +404,7 @@
 	s.put("b", "z1", "v1", true);
 	for (int i = 0; i < 20; i++)
 		EXPECT_STREQ(s.pick({}), "a");
-	svt_remove(&s.t, "a");
+	svt_remove(&s.t, "a", 0);
 	EXPECT_STREQ(s.pick({}), "none");
 }
 
@@ -416,6 +416,8 @@
 	EXPECT_STREQ(s.pick({}), "none");
 	s.put("a", "z1", "v1", false, 10);
 	EXPECT_STREQ(s.pick({}), "a");
+	EXPECT_FALSE(svt_remove(&s.t, "a", 9)) << "an older removal";
+	EXPECT_STREQ(s.pick({}), "a");
 }
 
 TEST(Servers, AWholeListShowsWhoIsGone)
@@ -451,7 +453,7 @@
 	svt_on_end(&s.t, a, 0, SVT_SILENT, 0);
 	for (int i = 0; i < 20; i++)
 		EXPECT_STREQ(s.pick({}, 1), "b");
-	svt_remove(&s.t, "b");
+	svt_remove(&s.t, "b", 0);
 	EXPECT_STREQ(s.pick({}, 1), "a");
 }
 
--- a/wire/fleet-codec.c
+++ b/wire/fleet-codec.c
@@ -11,6 +11,7 @@
 #define PROC_PLAN 5
 #define PROC_SESSIONS 6
 #define PROC_LOADS 7
+#define PROC_SOURCE 8
 #define PROC_OFFSET 20 /* of the procedure in an ONC RPC call */
 
 /* Tells which kind of message the bytes hold; they are not checked. */
@@ -27,6 +28,8 @@
 		return WFL_SESSIONS;
 	case PROC_LOADS:
 		return WFL_LOADS;
+	case PROC_SOURCE:
+		return WFL_SOURCE;
 	default:
 		return WFL_OTHER;
 	}
@@ -259,3 +262,37 @@
 	xdr_free((xdrproc_t)xdr_fleet_loads, (char *)&w);
 	return fault;
 }
+
+/* Writes what a node's source told; returns its length, or 0. */
+size_t wfl_put_source(const struct wfl_source *s, const char *key, uint8_t *buf,
+		      size_t size)
+{
+	struct fleet_source w = {
+		.node = (char *)s->node,
+		.servers = s->servers,
+	};
+
+	memcpy(w.changed, s->changed, sizeof(w.changed));
+	return put(PROC_SOURCE, (xdrproc_t)xdr_fleet_source, &w, key, buf,
+		   size);
+}
+
+/* Reads what a node's source told. */
+enum wir_fault wfl_get_source(const uint8_t *buf, size_t len, const char *key,
+			      struct wfl_source *s)
+{
+	struct fleet_source w;
+	enum wir_fault fault;
+
+	memset(&w, 0, sizeof(w));
+	memset(s, 0, sizeof(*s));
+	fault = get(PROC_SOURCE, (xdrproc_t)xdr_fleet_source, &w, key, buf,
+		    len);
+	if (fault == WIR_OK) {
+		g_strlcpy(s->node, w.node, sizeof(s->node));
+		s->servers = w.servers;
+		memcpy(s->changed, w.changed, sizeof(s->changed));
+	}
+	xdr_free((xdrproc_t)xdr_fleet_source, (char *)&w);
+	return fault;
+}
--- a/wire/fleet-codec.h
+++ b/wire/fleet-codec.h
@@ -15,6 +15,7 @@
 	WFL_PLAN,
 	WFL_SESSIONS,
 	WFL_LOADS,
+	WFL_SOURCE,
 };
 
 struct wfl_report {
@@ -62,6 +63,13 @@
 	struct wfl_load load[WFL_MAX_LOADS];
 };
 
+/* A node whose source answers: the latest changes that it knows of. */
+struct wfl_source {
+	char node[SFT_NAME_MAX];
+	uint64_t servers; /* digest of its list of servers */
+	uint64_t changed[WFL_TOPICS];
+};
+
 enum wfl_kind wfl_kind_of(const uint8_t *buf, size_t len);
 size_t wfl_put_report(const struct wfl_report *r, const char *key, uint8_t *buf,
 		      size_t size);
@@ -79,5 +87,9 @@
 		     size_t size);
 enum wir_fault wfl_get_loads(const uint8_t *buf, size_t len, const char *key,
 			     struct wfl_loads *l);
+size_t wfl_put_source(const struct wfl_source *s, const char *key, uint8_t *buf,
+		      size_t size);
+enum wir_fault wfl_get_source(const uint8_t *buf, size_t len, const char *key,
+			      struct wfl_source *s);
 
 #endif
--- a/wire/fleet-xdr.c
+++ b/wire/fleet-xdr.c
@@ -210,6 +210,22 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fleet_source (XDR *xdrs, fleet_source *objp)
+{
+	register int32_t *buf;
+
+	int i;
+	 if (!xdr_string (xdrs, &objp->node, FLEET_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->servers))
+		 return FALSE;
+	 if (!xdr_vector (xdrs, (char *)objp->changed, FLEET_TOPICS,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fleet_plan (XDR *xdrs, fleet_plan *objp)
 {
--- a/wire/fleet.h
+++ b/wire/fleet.h
@@ -76,6 +76,13 @@
 };
 typedef struct fleet_loads fleet_loads;
 
+struct fleet_source {
+	char *node;
+	u_quad_t servers;
+	u_quad_t changed[FLEET_TOPICS];
+};
+typedef struct fleet_source fleet_source;
+
 struct fleet_plan {
 	char *node;
 	char *service;
@@ -95,6 +102,7 @@
 extern  bool_t xdr_fleet_sessions (XDR *, fleet_sessions*);
 extern  bool_t xdr_fleet_load (XDR *, fleet_load*);
 extern  bool_t xdr_fleet_loads (XDR *, fleet_loads*);
+extern  bool_t xdr_fleet_source (XDR *, fleet_source*);
 extern  bool_t xdr_fleet_plan (XDR *, fleet_plan*);
 
 #else /* K&R C */
@@ -104,6 +112,7 @@
 extern bool_t xdr_fleet_sessions ();
 extern bool_t xdr_fleet_load ();
 extern bool_t xdr_fleet_loads ();
+extern bool_t xdr_fleet_source ();
 extern bool_t xdr_fleet_plan ();
 
 #endif /* K&R C */
--- a/wire/fleet.x
+++ b/wire/fleet.x
@@ -52,6 +52,12 @@
 	fleet_load list<FLEET_LOADS_MAX>;
 };
 
+struct fleet_source {
+	string node<FLEET_NAME_MAX>;
+	unsigned hyper servers;
+	unsigned hyper changed[FLEET_TOPICS];
+};
+
 struct fleet_plan {
 	string node<FLEET_NAME_MAX>;
 	string service<FLEET_NAME_MAX>;
