exchange: escalate only as far as the larger model would be on time

Ruled out: faults of servers (the loss stayed after they were over), memory of the engines (0 requests preempted). Change: the expected delay of the placement, corrected by the delays seen, gives the chance that the larger model is on time; the quality wanted is scaled by it, so that the small model's answer stands where the larger one would come too late.

--- a/exchange/cascade.c
+++ b/exchange/cascade.c
@@ -44,15 +44,27 @@
 	return csc_target(c, route->priority) < 1 ? 0 : route->n_models - 1;
 }
 
+/*
+ * Returns the chance, 0 to 1, that an answer expected after expected_ms comes
+ * within left_ms: one half where both are equal.
+ */
+double csc_chance(double left_ms, double expected_ms)
+{
+	if (left_ms <= 0)
+		return 0;
+	return CLAMP(1.5 - expected_ms / left_ms, 0, 1);
+}
+
 /*
  * Tells whether an answer is to be dropped for one of the largest model, by
- * its model's own opinion of it, 0 to 100. An answer without one is kept.
+ * its model's own opinion of it, 0 to 100, and the chance that the other one
+ * comes on time. An answer without an opinion is kept.
  */
 bool csc_is_weak(const struct csc *c, const struct rts_route *route,
-		 size_t model, const char *confidence)
+		 size_t model, const char *confidence, double chance)
 {
 	if (!confidence || model + 1 >= route->n_models)
 		return false;
 	return g_ascii_strtod(confidence, NULL) <
-	       100 * csc_target(c, route->priority);
+	       100 * chance * csc_target(c, route->priority);
 }
--- a/exchange/cascade.h
+++ b/exchange/cascade.h
@@ -9,7 +9,8 @@
 
 /*
  * Chooses among a route's models: the smallest one answers first, and an
- * answer that its model holds for poor is dropped for one of the largest.
+ * answer that its model holds for poor is dropped for one of the largest, as
+ * far as that one is likely to answer on time.
  */
 #define CSC_MAX_TARGETS 16
 
@@ -21,7 +22,8 @@
 bool csc_parse(struct csc *c, const char *text);
 double csc_target(const struct csc *c, uint32_t priority);
 size_t csc_first(const struct csc *c, const struct rts_route *route);
+double csc_chance(double left_ms, double expected_ms);
 bool csc_is_weak(const struct csc *c, const struct rts_route *route,
-		 size_t model, const char *confidence);
+		 size_t model, const char *confidence, double chance);
 
 #endif
--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -402,6 +402,95 @@
 		svt_on_load(x->server, gwy_now(x->g), running, waiting, slots);
 }
 
+/* A model's share of the cost of the route's dearest one. */
+static double model_weight(const struct exc *x, const char *model)
+{
+	const struct rts_route *r = x->route;
+	double most = 0, cost;
+
+	if (r->kind != RTS_STREAMING || !x->prompt.input_tokens)
+		return 0;
+	for (size_t i = 0; i < r->n_models; i++)
+		most = MAX(most, rts_model_cost(x->routes, r, r->models[i]));
+	cost = model ? rts_model_cost(x->routes, r, model) : most;
+	return most > 0 ? MAX(cost / most, 0.01) : 1;
+}
+
+/* The cache of a model serves no other one. */
+static uint64_t affinity_of(const struct exc *x, size_t model)
+{
+	return x->prompt.shared ? x->prompt.shared ^ (model * MODEL_MIX) : 0;
+}
+
+static enum sft_seen seen_on(const struct exc *x, const struct sft *s,
+			     uint64_t now)
+{
+	uint64_t was = rcs_version(&x->g->recent, now, x->session);
+
+	if (!was)
+		return SFT_UNSEEN;
+	return was == sht_version_hash(s->target) ? SFT_SEEN_NEW : SFT_SEEN_OLD;
+}
+
+/* Chooses between old and new servers while a roll-out is known. */
+static void choose_version(struct exc *x, uint64_t now, struct svt_wish *wish)
+{
+	const struct sft *s = sht_find(x->g->shifts, x->service);
+	uint64_t hash = x->session ? x->session : rng_next(&x->g->rng);
+
+	if (!s)
+		return;
+	if (!x->sent_by_shift || s->plan.state != SFT_TRIAL)
+		x->version = sft_choose(s, now, hash, seen_on(x, s, now));
+	x->sent_by_shift = true;
+	wish->version = s->target;
+	wish->versions = x->version == SFT_NEW ? SVT_ONLY : SVT_NOT;
+}
+
+/*
+ * The other version serves where the chosen one has no server at all, but for
+ * a new one that is on trial or failed.
+ */
+static bool may_use_other(const struct exc *x)
+{
+	const struct sft *s = sht_find(x->g->shifts, x->service);
+
+	if (!s)
+		return false;
+	return x->version == SFT_NEW || s->plan.state == SFT_COMPLETED;
+}
+
+/* What is wanted of a server for an attempt with that model. */
+static struct svt_wish wish_of(struct exc *x, uint64_t now, size_t model)
+{
+	struct svt_wish wish = {
+		.service = x->service,
+		.zone = x->g->settings->zone,
+		.affinity = affinity_of(x, model),
+		.shared_tokens = x->prompt.shared_tokens,
+		.input_tokens = x->prompt.input_tokens,
+		.weight = model_weight(x, x->model ? x->route->models[model]
+						   : NULL),
+		.n_tried = x->n_tried,
+	};
+
+	memcpy(wish.tried, x->tried, sizeof(wish.tried));
+	choose_version(x, now, &wish);
+	return wish;
+}
+
+/* The chance that another model's first event comes within the objective. */
+static double chance_on_time(struct exc *x, uint64_t now, size_t model)
+{
+	struct svt_wish wish = wish_of(x, now, model);
+	double passed = (double)(now - x->started_at);
+
+	if (!x->route->objective_ms)
+		return 1;
+	return csc_chance(x->route->objective_ms - passed,
+			  svt_expect(&x->g->servers, now, &wish));
+}
+
 /*
  * Drops the answer of a small model that holds it for poor, while the client
  * has none of it, and names the largest model for the next attempt.
@@ -411,16 +500,18 @@
 	struct gwy *g = x->g;
 	const struct rty_situation s = {.now = gwy_now(g),
 					.deadline = x->deadline};
+	size_t largest = x->route->n_models ? x->route->n_models - 1 : 0;
 
 	if (!x->model || x->begun || !x->req ||
 	    !csc_is_weak(&g->cascade, x->route, x->model_index,
-			 htm_find(fields, g->names->confidence)))
+			 htm_find(fields, g->names->confidence),
+			 chance_on_time(x, s.now, largest)))
 		return false;
 	if (!rty_may_repeat_now(&x->retry, &s) ||
 	    !bud_take(&g->budget, gwy_now(g), x->service))
 		return false;
-	x->model_index = x->route->n_models - 1;
-	x->model = x->route->models[x->model_index];
+	x->model_index = largest;
+	x->model = x->route->models[largest];
 	x->answer.result = RTY_WEAK;
 	ctr_add(&g->ctr, CTR_ESCALATIONS, 1);
 	return true;
@@ -469,6 +560,8 @@
 	x->last_event_at = gwy_now(x->g);
 	if (!x->attempt_events++) {
 		x->first_event_at = x->last_event_at;
+		svt_on_first(&x->g->servers, &x->work,
+			     (double)(x->first_event_at - x->attempt_at));
 		svt_on_read(x->server, &x->work);
 	}
 	if (x->call)
@@ -605,81 +698,11 @@
 	x->call = hc_start(g->http, &req, &server_events, x);
 }
 
-static enum sft_seen seen_on(const struct exc *x, const struct sft *s,
-			     uint64_t now)
-{
-	uint64_t was = rcs_version(&x->g->recent, now, x->session);
-
-	if (!was)
-		return SFT_UNSEEN;
-	return was == sht_version_hash(s->target) ? SFT_SEEN_NEW : SFT_SEEN_OLD;
-}
-
-/* Chooses between old and new servers while a roll-out is known. */
-static void choose_version(struct exc *x, uint64_t now, struct svt_wish *wish)
-{
-	const struct sft *s = sht_find(x->g->shifts, x->service);
-	uint64_t hash = x->session ? x->session : rng_next(&x->g->rng);
-
-	if (!s)
-		return;
-	if (!x->sent_by_shift || s->plan.state != SFT_TRIAL)
-		x->version = sft_choose(s, now, hash, seen_on(x, s, now));
-	x->sent_by_shift = true;
-	wish->version = s->target;
-	wish->versions = x->version == SFT_NEW ? SVT_ONLY : SVT_NOT;
-}
-
-/*
- * The other version serves where the chosen one has no server at all, but for
- * a new one that is on trial or failed.
- */
-static bool may_use_other(const struct exc *x)
-{
-	const struct sft *s = sht_find(x->g->shifts, x->service);
-
-	if (!s)
-		return false;
-	return x->version == SFT_NEW || s->plan.state == SFT_COMPLETED;
-}
-
-/* A model's share of the cost of the route's dearest one. */
-static double model_weight(const struct exc *x)
-{
-	const struct rts_route *r = x->route;
-	double most = 0, cost;
-
-	if (r->kind != RTS_STREAMING || !x->prompt.input_tokens)
-		return 0;
-	for (size_t i = 0; i < r->n_models; i++)
-		most = MAX(most, rts_model_cost(x->routes, r, r->models[i]));
-	cost = x->model ? rts_model_cost(x->routes, r, x->model) : most;
-	return most > 0 ? MAX(cost / most, 0.01) : 1;
-}
-
-/* The cache of a model serves no other one. */
-static uint64_t affinity_of(const struct exc *x)
-{
-	return x->prompt.shared
-		       ? x->prompt.shared ^ (x->model_index * MODEL_MIX)
-		       : 0;
-}
-
 static struct svt_server *pick(struct exc *x, uint64_t now)
 {
 	struct svt_server *s;
-	struct svt_wish wish = {
-		.service = x->service,
-		.zone = x->g->settings->zone,
-		.affinity = affinity_of(x),
-		.shared_tokens = x->prompt.shared_tokens,
-		.input_tokens = x->prompt.input_tokens,
-		.weight = model_weight(x),
-		.n_tried = x->n_tried,
-	};
+	struct svt_wish wish = wish_of(x, now, x->model_index);
 
-	memcpy(wish.tried, x->tried, sizeof(wish.tried));
-	choose_version(x, now, &wish);
 	s = svt_pick(&x->g->servers, now, &wish, &x->g->rng);
 	if (!s && wish.versions != SVT_ANY_VERSION && may_use_other(x)) {
 		x->version = x->version == SFT_NEW ? SFT_OLD : SFT_NEW;
--- a/exchange/servers.c
+++ b/exchange/servers.c
@@ -14,6 +14,10 @@
 #define OTHER_ZONE_MS 3.0
 #define FULL_MS 500.0
 #define FAILURE_FACTOR 4
+#define HEAVY_WEIGHT 0.5
+#define RATIO_MIN 0.2
+#define RATIO_MAX 20.0
+#define RATIO_WEIGHT 0.05
 #define PACE_WEIGHT 0.15
 #define PACE_MIN 0.6
 #define PACE_MAX 5.0
@@ -44,6 +48,7 @@
 void svt_init(struct svt *t)
 {
 	memset(t, 0, sizeof(*t));
+	t->delay_ratio = 1;
 	t->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	t->all = g_ptr_array_new_with_free_func(free_server);
 }
@@ -310,17 +315,6 @@
 	return w->weight * (w->input_tokens - cached);
 }
 
-/* Returns what a request adds to the load of the server chosen for it. */
-struct svt_work svt_work_of(const struct svt *t, uint64_t now,
-			    const struct svt_wish *wish,
-			    const struct svt_server *s)
-{
-	bool at_home = wish->affinity && home_of(t, now, wish) == s;
-	struct svt_work work = {wish->weight, tokens_to_read(wish, at_home)};
-
-	return work;
-}
-
 static double pace_of(const struct svt *t, const struct svt_server *s)
 {
 	if (s->event_ms <= 0 || t->usual_event_ms <= 0)
@@ -375,6 +369,44 @@
 	return best;
 }
 
+/* Returns what a request adds to the load of the server chosen for it. */
+struct svt_work svt_work_of(const struct svt *t, uint64_t now,
+			    const struct svt_wish *wish,
+			    const struct svt_server *s)
+{
+	bool at_home = wish->affinity && home_of(t, now, wish) == s;
+	struct svt_work work = {
+		.expected_ms = expected_delay(t, s, now, wish, at_home),
+		.weight = wish->weight,
+		.prefill = tokens_to_read(wish, at_home),
+	};
+
+	return work;
+}
+
+/*
+ * Returns the shortest expected time to the first event of a model request in
+ * ms, corrected by what was seen of late; 0 if no server could take it.
+ */
+double svt_expect(struct svt *t, uint64_t now, const struct svt_wish *wish)
+{
+	struct svt_server *s = least_delay(t, now, wish);
+
+	return s ? svt_work_of(t, now, wish, s).expected_ms * t->delay_ratio
+		 : 0;
+}
+
+/* The first event of a model request came after first_ms. */
+void svt_on_first(struct svt *t, const struct svt_work *work, double first_ms)
+{
+	double ratio;
+
+	if (work->weight < HEAVY_WEIGHT || work->expected_ms < 1)
+		return;
+	ratio = CLAMP(first_ms / work->expected_ms, RATIO_MIN, RATIO_MAX);
+	t->delay_ratio += RATIO_WEIGHT * (ratio - t->delay_ratio);
+}
+
 /*
  * Chooses a server that is ready and was not tried yet, or returns NULL.
  * Ejected ones are used only if there is no other.
--- a/exchange/servers.h
+++ b/exchange/servers.h
@@ -72,7 +72,7 @@
 	GPtrArray *all;
 	double usual_ms; /* mean time to the head of plain answers */
 	double usual_event_ms; /* of all servers */
-	uint64_t picks;
+	double delay_ratio; /* true delays of model requests to expected ones */
 };
 
 enum svt_outcome {
@@ -120,6 +120,7 @@
 double svt_load(const struct svt_server *s, uint64_t now);
 /* What a model request adds to its server's load. */
 struct svt_work {
+	double expected_ms; /* to its first event, uncorrected */
 	double weight;
 	double prefill; /* 0 once its first event is here */
 };
@@ -127,6 +128,8 @@
 struct svt_work svt_work_of(const struct svt *t, uint64_t now,
 			    const struct svt_wish *wish,
 			    const struct svt_server *s);
+double svt_expect(struct svt *t, uint64_t now, const struct svt_wish *wish);
+void svt_on_first(struct svt *t, const struct svt_work *work, double first_ms);
 void svt_on_work(struct svt_server *s, const struct svt_work *work);
 void svt_on_read(struct svt_server *s, struct svt_work *work);
 void svt_on_pace(struct svt *t, struct svt_server *s, double event_ms);
--- a/fleet/state-task.c
+++ b/fleet/state-task.c
@@ -75,6 +75,20 @@
 	return at ? g_ascii_strtoull(at + strlen(key), NULL, 10) : 0;
 }
 
+static void add_changed(struct json_object *o, const char *key,
+			uint64_t changed)
+{
+	json_object_object_add(o, key, json_object_new_int64((int64_t)changed));
+}
+
+static void take_changed(struct gwy *g, enum fed_topic topic,
+			 struct json_object *answer, const char *key)
+{
+	uint64_t changed = (uint64_t)jsn_int(answer, key, 0);
+
+	g->changed[topic] = MAX(g->changed[topic], changed);
+}
+
 /* Answers another node: what it has older than this node's. */
 void pst_serve(struct gwy *g, struct hs_req *req)
 {
@@ -95,6 +109,7 @@
 		json_object_object_add(
 			o, "servers_as_of",
 			json_object_new_int64((int64_t)g->as_of[FED_SERVERS]));
+		add_changed(o, "servers_changed", g->changed[FED_SERVERS]);
 	}
 	if (g->listed[FED_ROLLOUTS] &&
 	    g->as_of[FED_ROLLOUTS] > number_after(hs_path(req), "rollouts=")) {
@@ -103,6 +118,7 @@
 		json_object_object_add(
 			o, "rollouts_as_of",
 			json_object_new_int64((int64_t)g->as_of[FED_ROLLOUTS]));
+		add_changed(o, "rollouts_changed", g->changed[FED_ROLLOUTS]);
 	}
 	hs_reply_json(
 		req, 200,
@@ -138,6 +154,7 @@
 	for (size_t i = 0; i < jsn_len(list); i++)
 		take_server(g, json_object_array_get_idx(list, i));
 	g->events->list(g, FED_SERVERS, true);
+	take_changed(g, FED_SERVERS, answer, "servers_changed");
 	gwy_take_as_of(g, FED_SERVERS, as_of);
 }
 
@@ -162,6 +179,7 @@
 		if (order.service && order.target)
 			g->events->rollout(g, &order);
 	}
+	take_changed(g, FED_ROLLOUTS, answer, "rollouts_changed");
 	gwy_take_as_of(g, FED_ROLLOUTS, as_of);
 }
 
--- a/t/unit/exchange_test.cc
+++ b/t/unit/exchange_test.cc
@@ -362,10 +362,14 @@
 	const rts_route *talk = t.route("/t/x");
 	ASSERT_TRUE(csc_parse(&c, "1,0.75"));
 	EXPECT_EQ(csc_first(&c, talk), 0u);
-	EXPECT_TRUE(csc_is_weak(&c, talk, 0, "74"));
-	EXPECT_FALSE(csc_is_weak(&c, talk, 0, "75"));
-	EXPECT_FALSE(csc_is_weak(&c, talk, 0, nullptr));
-	EXPECT_FALSE(csc_is_weak(&c, talk, 1, "1")) << "there is no larger one";
+	EXPECT_TRUE(csc_is_weak(&c, talk, 0, "74", 1));
+	EXPECT_FALSE(csc_is_weak(&c, talk, 0, "75", 1));
+	EXPECT_FALSE(csc_is_weak(&c, talk, 0, nullptr, 1));
+	EXPECT_FALSE(csc_is_weak(&c, talk, 1, "1", 1)) << "no larger one";
+	EXPECT_FALSE(csc_is_weak(&c, talk, 0, "40", csc_chance(2000, 2000)))
+		<< "kept where the larger one would hardly be on time";
+	EXPECT_TRUE(csc_is_weak(&c, talk, 0, "40", csc_chance(2000, 500)));
+	EXPECT_DOUBLE_EQ(csc_chance(0, 10), 0);
 	EXPECT_DOUBLE_EQ(csc_target(&c, 9), 0.75);
 	for (const char *bad : {"", "x", "0.5,", "1.5", "0.5;1"})
 		EXPECT_FALSE(csc_parse(&c, bad)) << bad;
@@ -461,7 +465,7 @@
 {
 	Servers s;
 	svt_server *a = s.put("a"), *b = s.put("b");
-	svt_work work = {1, 20000};
+	svt_work work = {0, 1, 20000};
 	svt_wish w = {};
 	w.weight = 1;
 	w.input_tokens = 1000;
@@ -472,6 +476,21 @@
 	EXPECT_STREQ(s.pick(w), "a") << "what other nodes put there counts";
 }
 
+TEST(Servers, ExpectationsAreCorrectedByWhatIsSeen)
+{
+	Servers s;
+	s.put("a");
+	svt_wish w = {};
+	w.service = "s";
+	w.weight = 1;
+	w.input_tokens = 10000;
+	double before = svt_expect(&s.t, 0, &w);
+	svt_work work = svt_work_of(&s.t, 0, &w, svt_find(&s.t, "a"));
+	for (int i = 0; i < 100; i++)
+		svt_on_first(&s.t, &work, 3 * work.expected_ms);
+	EXPECT_NEAR(svt_expect(&s.t, 0, &w), 3 * before, before / 10);
+}
+
 TEST(Servers, SharedPartsGoHomeWhileItIsNotBusy)
 {
 	Servers s;
@@ -485,7 +504,7 @@
 	std::string home = s.pick(w);
 	for (int i = 0; i < 5; i++)
 		EXPECT_EQ(s.pick(w), home);
-	svt_work work = {1, 60000};
+	svt_work work = {0, 1, 60000};
 	svt_on_work(svt_find(&s.t, home.c_str()), &work);
 	EXPECT_NE(s.pick(w), home);
 }
