exchange: count the chance of ending by the deadline; let early requests wait

Change: the larger model is asked as far as a long stream there ends by the deadline; requests wait up to 500 ms after a start for the first configuration; a stopping node closes its idle connections at once.

--- a/daemon/gateway.c
+++ b/daemon/gateway.c
@@ -26,6 +26,7 @@
 #define GRACE_SLACK_MS 400
 #define LEAST_DRAIN_MS 2600
 #define FIRST_BODY_BYTES (4 * 1024 * 1024)
+#define EARLY_MS 600 /* requests wait so long for the first configuration */
 #define FIRST_HEAD_MS 5000
 #define SESSION_SLACK_MS 1000
 
@@ -117,6 +118,8 @@
 	    " routes=%zu services=%zu organisations=%zu",
 	    revision, routes->n_routes, routes->n_services, routes->n_orgs);
 	note_ready(g);
+	if (gwy_knows_all(g))
+		exc_on_ready(g);
 }
 
 static void on_server(void *user, const struct svt_entry *entry)
@@ -185,6 +188,8 @@
 	g->as_of[topic] = MAX(g->as_of[topic], revision);
 	g->listed[topic] = true;
 	note_ready(g);
+	if (gwy_knows_all(g))
+		exc_on_ready(g);
 }
 
 static void on_current(void *user, enum fed_topic topic, uint64_t revision)
@@ -329,6 +334,8 @@
 	}
 	if (ticks % SETTINGS_CHECK_TICKS == 0 && settings_changed(g))
 		reload(g, "changed");
+	if (g->early->len && now - g->started_at > EARLY_MS)
+		exc_on_ready(g);
 	if (g->draining)
 		check_drain(g, now);
 	lge_flush();
@@ -343,7 +350,7 @@
 	lge(LGE_STOPPING, "signal=%d open=%zu", number, g->open_requests);
 	g->draining = true;
 	g->drain_at = gwy_now(g);
-	hs_close_after_answers(g->door);
+	hs_close_idle(g->door);
 	flt_leave(g->fleet);
 	note_ready(g);
 }
@@ -421,6 +428,8 @@
 	g->http = hc_new(g->loop);
 	svt_init(&g->servers);
 	lds_init(&g->loads);
+	len_init(&g->lengths);
+	g->early = g_ptr_array_new();
 	bud_init(&g->budget, &none);
 	apply_settings(g);
 	rcs_init(&g->recent,
@@ -433,6 +442,7 @@
 		lge_flush();
 		return EXIT_FAILURE;
 	}
+	g->started_at = gwy_now(g);
 	start_feed(g);
 	watch_signal(g, &on_term, SIGTERM, on_stop_signal);
 	watch_signal(g, &on_int, SIGINT, on_stop_signal);
--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -10,6 +10,7 @@
 #include "exchange/budget.h"
 #include "exchange/cascade.h"
 #include "exchange/feed.h"
+#include "exchange/lengths.h"
 #include "exchange/loads.h"
 #include "exchange/names.h"
 #include "exchange/routes.h"
@@ -46,6 +47,8 @@
 	struct json_object *doc; /* of which `routes` was made */
 	struct svt servers;
 	struct lds loads;
+	struct len lengths;
+	GPtrArray *early; /* requests that came before all was known */
 	struct bud budget;
 	struct csc cascade;
 	struct pfd *feed;
@@ -63,6 +66,7 @@
 	struct hst request_ms[GWY_KINDS]; /* by the route's kind */
 	struct hst first_event_ms;
 	size_t open_requests;
+	uint64_t started_at;
 	bool draining;
 	uint64_t drain_at;
 	uv_timer_t tick;
--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -21,7 +21,9 @@
 #define KEPT_IDLE_ONCE_MS 400
 #define LATE_STREAM_MS 2500
 #define LATE_PLAIN_MS 1300 /* before the end of the time of grace */
+#define EARLY_MS 500 /* after the start: requests wait for what is to know */
 #define MIN_LEFT_MS 5
+#define LONG_STREAM 1.6 /* to the mean number of events */
 #define MODEL_MIX 0x9e3779b97f4a7c15ULL
 
 /* One request of a client, from its arrival to its final answer. */
@@ -215,6 +217,7 @@
 static void end_stream(struct exc *x)
 {
 	begin_answer(x);
+	len_note(&x->g->lengths, x->route->name, x->events.count);
 	log_end(x, x->answer.status, "answered");
 	ctr_add(&x->g->ctr, CTR_ANSWERED, 1);
 	if (x->req)
@@ -479,16 +482,24 @@
 	return wish;
 }
 
-/* The chance that another model's first event comes within the objective. */
+/*
+ * The chance that another model's first event comes within the objective and
+ * its last one before the deadline.
+ */
 static double chance_on_time(struct exc *x, uint64_t now, size_t model)
 {
 	struct svt_wish wish = wish_of(x, now, model);
+	struct svt_outlook o = svt_expect(&x->g->servers, now, &wish);
 	double passed = (double)(now - x->started_at);
+	double whole_ms =
+		o.first_ms + o.event_ms * LONG_STREAM *
+				     len_mean(&x->g->lengths, x->route->name);
+	double finish = csc_chance((double)(x->deadline - now), whole_ms);
 
 	if (!x->route->objective_ms)
-		return 1;
-	return csc_chance(x->route->objective_ms - passed,
-			  svt_expect(&x->g->servers, now, &wish));
+		return finish;
+	return MIN(finish,
+		   csc_chance(x->route->objective_ms - passed, o.first_ms));
 }
 
 /*
@@ -900,17 +911,56 @@
 	       (route->kind == RTS_STREAMING && passed > LATE_STREAM_MS);
 }
 
-/* Takes a request of a client; it ends by itself. */
-void exc_on_request(void *gateway, struct hs_req *req)
+struct early {
+	struct gwy *g;
+	struct hs_req *req;
+};
+
+static void on_early_gone(void *user)
+{
+	struct early *e = user;
+
+	g_ptr_array_remove(e->g->early, e);
+	g_free(e);
+}
+
+/* A node that has just started knows all in a moment: the request waits. */
+static bool waits_for_start(struct gwy *g, struct hs_req *req)
+{
+	struct early *e;
+
+	if (gwy_now(g) - g->started_at > EARLY_MS || g->draining)
+		return false;
+	e = g_new0(struct early, 1);
+	e->g = g;
+	e->req = req;
+	g_ptr_array_add(g->early, e);
+	hs_watch_gone(req, on_early_gone, e);
+	return true;
+}
+
+static void take(struct gwy *g, struct hs_req *req);
+
+/* All is known, or the time to wait for it is over: serves who waits. */
+void exc_on_ready(struct gwy *g)
+{
+	while (g->early->len) {
+		struct early *e = g_ptr_array_steal_index(g->early, 0);
+
+		hs_watch_gone(e->req, NULL, NULL);
+		take(g, e->req);
+		g_free(e);
+	}
+}
+
+static void take(struct gwy *g, struct hs_req *req)
 {
-	struct gwy *g = gateway;
 	const char *id = hs_header(req, g->names->request_id);
 	const char *host = hs_header(req, "host");
 	const char *key = key_of(g, req);
 	const struct rts_route *route;
 	rts_handle h, org = RTS_NONE;
 
-	ctr_add(&g->ctr, CTR_REQUESTS, 1);
 	if (!id || !*id || is_ambiguous(g, req)) {
 		refuse_early(g, req, 400, "no-single-request-id-or-key", 0);
 		return;
@@ -937,3 +987,13 @@
 	}
 	start(g, req, route, org, id);
 }
+
+/* Takes a request of a client; it ends by itself. */
+void exc_on_request(void *gateway, struct hs_req *req)
+{
+	struct gwy *g = gateway;
+
+	ctr_add(&g->ctr, CTR_REQUESTS, 1);
+	if (gwy_knows_all(g) || !waits_for_start(g, req))
+		take(g, req);
+}
--- a/exchange/exchange-task.h
+++ b/exchange/exchange-task.h
@@ -1,9 +1,11 @@
 #ifndef EXCHANGE_EXCHANGE_TASK_H
 #define EXCHANGE_EXCHANGE_TASK_H
 
+struct gwy;
 struct hs_req;
 
 /* Serves the requests of configured routes; the owner is the node. */
 void exc_on_request(void *gateway, struct hs_req *req);
+void exc_on_ready(struct gwy *g);
 
 #endif
--- /dev/null
+++ b/exchange/lengths.c
@@ -0,0 +1,37 @@
+#include "exchange/lengths.h"
+
+#define MEAN_WEIGHT 0.05
+
+/* Starts with no stream seen. */
+void len_init(struct len *l)
+{
+	l->routes =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+/* Frees what was seen. */
+void len_clear(struct len *l)
+{
+	g_hash_table_unref(l->routes);
+}
+
+/* A whole stream of the route had that many events. */
+void len_note(struct len *l, const char *route, uint64_t events)
+{
+	double *mean = g_hash_table_lookup(l->routes, route);
+
+	if (!mean) {
+		mean = g_new0(double, 1);
+		*mean = (double)events;
+		g_hash_table_insert(l->routes, g_strdup(route), mean);
+	}
+	*mean += MEAN_WEIGHT * ((double)events - *mean);
+}
+
+/* Returns the mean number of events of the route's streams; 0 if unknown. */
+double len_mean(const struct len *l, const char *route)
+{
+	const double *mean = g_hash_table_lookup(l->routes, route);
+
+	return mean ? *mean : 0;
+}
--- a/exchange/servers.c
+++ b/exchange/servers.c
@@ -385,15 +385,22 @@
 }
 
 /*
- * Returns the shortest expected time to the first event of a model request in
- * ms, corrected by what was seen of late; 0 if no server could take it.
+ * Returns what a model request may expect, corrected by the delays seen of
+ * late; all 0 if no server could take it.
  */
-double svt_expect(struct svt *t, uint64_t now, const struct svt_wish *wish)
+struct svt_outlook svt_expect(struct svt *t, uint64_t now,
+			      const struct svt_wish *wish)
 {
 	struct svt_server *s = least_delay(t, now, wish);
+	struct svt_outlook out = {0, 0};
 
-	return s ? svt_work_of(t, now, wish, s).expected_ms * t->delay_ratio
-		 : 0;
+	if (!s)
+		return out;
+	out.first_ms =
+		svt_work_of(t, now, wish, s).expected_ms * t->delay_ratio;
+	out.event_ms = wish->weight *
+		       (s->event_ms > 0 ? s->event_ms : t->usual_event_ms);
+	return out;
 }
 
 /* The first event of a model request came after first_ms. */
--- a/exchange/servers.h
+++ b/exchange/servers.h
@@ -128,7 +128,14 @@
 struct svt_work svt_work_of(const struct svt *t, uint64_t now,
 			    const struct svt_wish *wish,
 			    const struct svt_server *s);
-double svt_expect(struct svt *t, uint64_t now, const struct svt_wish *wish);
+/* What a model request may expect at the server that suits it best. */
+struct svt_outlook {
+	double first_ms; /* to the first event */
+	double event_ms; /* between two events */
+};
+
+struct svt_outlook svt_expect(struct svt *t, uint64_t now,
+			      const struct svt_wish *wish);
 void svt_on_first(struct svt *t, const struct svt_work *work, double first_ms);
 void svt_on_work(struct svt_server *s, const struct svt_work *work);
 void svt_on_read(struct svt_server *s, struct svt_work *work);
--- a/http/server.c
+++ b/http/server.c
@@ -650,12 +650,6 @@
 	}
 }
 
-/* From now on each connection closes after its next answer. */
-void hs_close_after_answers(struct hs *hs)
-{
-	hs->closing = true;
-}
-
 /* Closes the listening socket; open connections go on. */
 void hs_stop_accepting(struct hs *hs)
 {
@@ -666,14 +660,13 @@
 }
 
 /*
- * Stops accepting and closes each connection after the request it carries;
- * connections without one close now.
+ * From now on each connection closes after its answer; those without a request
+ * close now. New connections are still accepted.
  */
-void hs_shutdown(struct hs *hs)
+void hs_close_idle(struct hs *hs)
 {
 	g_autoptr(GList) conns = g_hash_table_get_keys(hs->conns);
 
-	hs_stop_accepting(hs);
 	hs->closing = true;
 	for (GList *l = conns; l; l = l->next) {
 		struct conn *c = l->data;
@@ -683,6 +676,13 @@
 	}
 }
 
+/* Stops accepting as well. */
+void hs_shutdown(struct hs *hs)
+{
+	hs_stop_accepting(hs);
+	hs_close_idle(hs);
+}
+
 /* Returns the number of requests that have no whole response yet. */
 size_t hs_open_requests(const struct hs *hs)
 {
--- a/http/server.h
+++ b/http/server.h
@@ -28,7 +28,7 @@
 		     uint64_t head_timeout_ms, hs_on_request cb, void *owner,
 		     GError **err);
 void hs_set_limits(struct hs *hs, const struct hs_limits *limits);
-void hs_close_after_answers(struct hs *hs);
+void hs_close_idle(struct hs *hs);
 void hs_stop_accepting(struct hs *hs);
 void hs_shutdown(struct hs *hs);
 size_t hs_open_requests(const struct hs *hs);
--- a/t/t0011-routes.sh
+++ b/t/t0011-routes.sh
@@ -11,6 +11,7 @@
 start_route_node 1
 until_true 10 curl -s -o /dev/null "http://$(ready_at 1)/" || fail "no listener"
 expect "readiness before a configuration" 503 "$(curl -s -o /dev/null -w '%{http_code}' "http://$(ready_at 1)/readyz")"
+sleep 0.6
 expect "request before a configuration" 503 "$(send 1 GET /read/ok)"
 [ -n "$(header retry-after)" ] || fail "a refusal says when to come back"
 for n in 1 2 3; do start_backend "$n" desk; done
--- a/t/unit/exchange_test.cc
+++ b/t/unit/exchange_test.cc
@@ -484,11 +484,11 @@
 	w.service = "s";
 	w.weight = 1;
 	w.input_tokens = 10000;
-	double before = svt_expect(&s.t, 0, &w);
+	double before = svt_expect(&s.t, 0, &w).first_ms;
 	svt_work work = svt_work_of(&s.t, 0, &w, svt_find(&s.t, "a"));
 	for (int i = 0; i < 100; i++)
 		svt_on_first(&s.t, &work, 3 * work.expected_ms);
-	EXPECT_NEAR(svt_expect(&s.t, 0, &w), 3 * before, before / 10);
+	EXPECT_NEAR(svt_expect(&s.t, 0, &w).first_ms, 3 * before, before / 10);
 }
 
 TEST(Servers, SharedPartsGoHomeWhileItIsNotBusy)
