--- a/daemon/gateway.c
+++ b/daemon/gateway.c
@@ -10,7 +10,7 @@
 
 #include "daemon/gateway-metrics.h"
 #include "daemon/version.h"
-#include "exchange/exchange-task.h"
+#include "exchange/intake-task.h"
 #include "fleet/fleet-task.h"
 #include "fleet/state-task.h"
 #include "log-event.h"
--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -1,83 +1,19 @@
-#include "exchange/exchange-task.h"
+#include "exchange/exchange.h"
 
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
 
-#include "daemon/gateway.h"
-#include "exchange/events.h"
-#include "exchange/prompt.h"
-#include "exchange/retry.h"
 #include "invariant.h"
 #include "log-event.h"
 #include "rollout/shift-task.h"
 
 #define CONNECT_MS 250
-#define MAX_CONNECTS 4
 #define MAX_HELD_BYTES (1024 * 1024)
 #define MAX_UNSENT_BYTES (4 * 1024 * 1024)
 #define KEPT_IDLE_MS 3000
 #define KEPT_IDLE_ONCE_MS 400
-#define LATE_STREAM_MS 2500
-#define LATE_PLAIN_MS 1300 /* before the end of the time of grace */
-#define EARLY_MS 500 /* after the start: requests wait for what is to know */
 #define MIN_LEFT_MS 5
-#define LONG_STREAM 1.6 /* to the mean number of events */
-#define MODEL_MIX 0x9e3779b97f4a7c15ULL
-
-/* One request of a client, from its arrival to its final answer. */
-struct exc {
-	struct gwy *g;
-	struct hs_req *req; /* NULL once the client has gone */
-	struct rts *routes; /* the table that it was taken with */
-	const struct rts_route *route;
-	const char *service;
-	char *id;
-	const char *org; /* of `routes`; NULL: none */
-	uint32_t urgency;
-	uint64_t started_at;
-	uint64_t deadline; /* the client's or the route's, whichever is first */
-	struct prm prompt;
-	uint64_t session; /* hash; 0: none */
-	const char *model; /* of `routes`, chosen by us; NULL: the client's */
-	size_t model_index;
-	struct rty retry;
-	uint64_t tried[SVT_MAX_TRIED];
-	uint32_t n_tried;
-
-	/* the attempt under way */
-	struct hc_call *call;
-	struct svt_server *server;
-	struct svt_work work; /* counted at the server */
-	uint64_t attempt_at;
-	struct rty_answer answer;
-	struct htm_fields head;
-	GString *body;
-	bool streamed; /* the answer is a stream of events */
-	bool unframed; /* it ends with its connection */
-	enum evs_fault fault;
-	double head_ms;
-	bool sent_by_shift; /* a roll-out of the service runs */
-	enum sft_version version; /* with sent_by_shift */
-	uint64_t attempt_events;
-	uint64_t first_event_at;
-	uint64_t last_event_at;
-	const char *server_version; /* of the last attempt, interned */
-
-	/* what the client has of the answer */
-	struct evs events;
-	bool begun;
-	bool begun_unframed;
-	char *first_server;
-	double first_ms; /* to the first event */
-
-	/* an answer of a server that failed, given if no better comes */
-	int spare_status;
-	struct htm_fields spare_head;
-	GString *spare_body;
-	bool spare_unframed;
-};
 
 static void attempt(struct exc *x);
 
@@ -135,25 +71,6 @@
 	    x->g->as_of[FED_SERVERS]);
 }
 
-static void refuse(struct gwy *g, struct hs_req *req, int status,
-		   const char *verdict, const char *reason,
-		   uint32_t retry_after_ms)
-{
-	g_autofree char *body = g_strdup_printf(
-		"{\"error\":{\"verdict\":\"%s\",\"reason\":\"%s\"}}", verdict,
-		reason);
-	const char *id = hs_header(req, g->names->request_id);
-	char after[32];
-
-	if (id)
-		hs_add_header(req, g->names->request_id, id);
-	if (retry_after_ms) {
-		snprintf(after, sizeof(after), "%.2f", retry_after_ms / 1000.0);
-		hs_add_header(req, "Retry-After", after);
-	}
-	hs_reply_json(req, status, body);
-}
-
 /* Ends with an answer of our own. */
 static void give_refusal(struct exc *x, const struct rty_refusal *r)
 {
@@ -163,8 +80,8 @@
 					       : CTR_REFUSED_MAY_HAVE_RUN,
 		1);
 	if (x->req)
-		refuse(x->g, x->req, r->status, vd_name(x->retry.verdict),
-		       r->reason, r->retry_after_ms);
+		exc_refuse(x->g, x->req, r->status, vd_name(x->retry.verdict),
+			   r->reason, r->retry_after_ms);
 	end_exchange(x);
 }
 
@@ -405,103 +322,6 @@
 		svt_on_load(x->server, gwy_now(x->g), running, waiting, slots);
 }
 
-/* A model's share of the cost of the route's dearest one. */
-static double model_weight(const struct exc *x, const char *model)
-{
-	const struct rts_route *r = x->route;
-	double most = 0, cost;
-
-	if (r->kind != RTS_STREAMING || !x->prompt.input_tokens)
-		return 0;
-	for (size_t i = 0; i < r->n_models; i++)
-		most = MAX(most, rts_model_cost(x->routes, r, r->models[i]));
-	cost = model ? rts_model_cost(x->routes, r, model) : most;
-	return most > 0 ? MAX(cost / most, 0.01) : 1;
-}
-
-/* The cache of a model serves no other one. */
-static uint64_t affinity_of(const struct exc *x, size_t model)
-{
-	return x->prompt.shared ? x->prompt.shared ^ (model * MODEL_MIX) : 0;
-}
-
-static enum sft_seen seen_on(const struct exc *x, const struct sft *s,
-			     uint64_t now)
-{
-	uint64_t was = rcs_version(&x->g->recent, now, x->session);
-
-	if (!was)
-		return SFT_UNSEEN;
-	return was == sht_version_hash(s->target) ? SFT_SEEN_NEW : SFT_SEEN_OLD;
-}
-
-/* Chooses between old and new servers while a roll-out is known. */
-static void choose_version(struct exc *x, uint64_t now, struct svt_wish *wish)
-{
-	const struct sft *s = sht_find(x->g->shifts, x->service);
-	uint64_t hash = x->session ? x->session : rng_next(&x->g->rng);
-
-	if (!s)
-		return;
-	if (!x->sent_by_shift || s->plan.state != SFT_TRIAL)
-		x->version = sft_choose(s, now, hash, seen_on(x, s, now));
-	x->sent_by_shift = true;
-	wish->version = s->target;
-	wish->versions = x->version == SFT_NEW ? SVT_ONLY : SVT_NOT;
-}
-
-/*
- * The other version serves where the chosen one has no server at all, but for
- * a new one that is on trial or failed.
- */
-static bool may_use_other(const struct exc *x)
-{
-	const struct sft *s = sht_find(x->g->shifts, x->service);
-
-	if (!s)
-		return false;
-	return x->version == SFT_NEW || s->plan.state == SFT_COMPLETED;
-}
-
-/* What is wanted of a server for an attempt with that model. */
-static struct svt_wish wish_of(struct exc *x, uint64_t now, size_t model)
-{
-	struct svt_wish wish = {
-		.service = x->service,
-		.zone = x->g->settings->zone,
-		.affinity = affinity_of(x, model),
-		.shared_tokens = x->prompt.shared_tokens,
-		.input_tokens = x->prompt.input_tokens,
-		.weight = model_weight(x, x->model ? x->route->models[model]
-						   : NULL),
-		.n_tried = x->n_tried,
-	};
-
-	memcpy(wish.tried, x->tried, sizeof(wish.tried));
-	choose_version(x, now, &wish);
-	return wish;
-}
-
-/*
- * The chance that another model's first event comes within the objective and
- * its last one before the deadline.
- */
-static double chance_on_time(struct exc *x, uint64_t now, size_t model)
-{
-	struct svt_wish wish = wish_of(x, now, model);
-	struct svt_outlook o = svt_expect(&x->g->servers, now, &wish);
-	double passed = (double)(now - x->started_at);
-	double whole_ms =
-		o.first_ms + o.event_ms * LONG_STREAM *
-				     len_mean(&x->g->lengths, x->route->name);
-	double finish = csc_chance((double)(x->deadline - now), whole_ms);
-
-	if (!x->route->objective_ms)
-		return finish;
-	return MIN(finish,
-		   csc_chance(x->route->objective_ms - passed, o.first_ms));
-}
-
 /*
  * Drops the answer of a small model that holds it for poor, while the client
  * has none of it, and names the largest model for the next attempt.
@@ -516,7 +336,7 @@
 	if (!x->model || x->begun || !x->req ||
 	    !csc_is_weak(&g->cascade, x->route, x->model_index,
 			 htm_find(fields, g->names->confidence),
-			 chance_on_time(x, s.now, largest)))
+			 exc_chance_on_time(x, s.now, largest)))
 		return false;
 	if (!rty_may_repeat_now(&x->retry, &s) ||
 	    !bud_take(&g->budget, gwy_now(g), x->service))
@@ -604,78 +424,10 @@
 
 static const struct hc_events server_events = {on_head, on_data, on_done};
 
-static bool is_ours(const struct exn *names, const char *name)
-{
-	const char *const set[] = {
-		names->deadline, names->tenant,	  names->expect_server,
-		names->urgency,	 "Authorization", "Content-Length",
-		"Expect",
-	};
-
-	for (size_t i = 0; i < G_N_ELEMENTS(set); i++)
-		if (!g_ascii_strcasecmp(name, set[i]))
-			return true;
-	for (const char *const *r = names->reserved; *r; r++)
-		if (!g_ascii_strcasecmp(name, *r))
-			return true;
-	return false;
-}
-
-static void add_line(GString *s, const char *name, const char *value)
-{
-	g_string_append_printf(s, "%s: %s\r\n", name, value);
-}
-
-/* The client's header fields, but for those that are ours to set. */
-static void add_client_headers(const struct exc *x, GString *s)
-{
-	const struct exn *names = x->g->names;
-	const struct htm_fields *fields = hs_fields(x->req);
-
-	for (size_t i = 0; i < htm_fields_count(fields); i++) {
-		struct htm_field f = htm_field_at(fields, i);
-
-		if (is_ours(names, f.name) || htm_is_hop_by_hop(fields, f.name))
-			continue;
-		if (x->model && !g_ascii_strcasecmp(f.name, names->model))
-			continue;
-		if (x->begun && !g_ascii_strcasecmp(f.name, names->last_event))
-			continue;
-		add_line(s, f.name, f.value);
-	}
-}
-
-static char *request_headers(const struct exc *x, uint64_t now)
-{
-	const struct exn *names = x->g->names;
-	GString *s = g_string_sized_new(512);
-	char number[32];
-
-	add_client_headers(x, s);
-	snprintf(number, sizeof(number), "%" G_GUINT64_FORMAT,
-		 x->deadline - now);
-	add_line(s, names->deadline, number);
-	add_line(s, names->expect_server, x->server->id);
-	if (x->org)
-		add_line(s, names->tenant, x->org);
-	if (x->model)
-		add_line(s, names->model, x->model);
-	if (x->route->kind == RTS_STREAMING) {
-		snprintf(number, sizeof(number), "%u", x->urgency);
-		add_line(s, names->urgency, number);
-	}
-	if (x->begun) {
-		snprintf(number, sizeof(number), "%" G_GUINT64_FORMAT,
-			 x->events.last_id);
-		add_line(s, names->last_event, number);
-	}
-	return g_string_free(s, FALSE);
-}
-
 static void call_server(struct exc *x, uint64_t now)
 {
 	struct gwy *g = x->g;
-	g_autofree char *headers = request_headers(x, now);
+	g_autofree char *headers = exc_request_headers(x, now);
 	g_autofree char *pool =
 		g_strdup_printf("%s/%s", x->server->address, x->server->id);
 	size_t len;
@@ -709,22 +461,6 @@
 	x->call = hc_start(g->http, &req, &server_events, x);
 }
 
-static struct svt_server *pick(struct exc *x, uint64_t now)
-{
-	struct svt_server *s;
-	struct svt_wish wish = wish_of(x, now, x->model_index);
-
-	s = svt_pick(&x->g->servers, now, &wish, &x->g->rng);
-	if (!s && wish.versions != SVT_ANY_VERSION && may_use_other(x)) {
-		x->version = x->version == SFT_NEW ? SFT_OLD : SFT_NEW;
-		wish.versions = x->version == SFT_NEW ? SVT_ONLY : SVT_NOT;
-		s = svt_pick(&x->g->servers, now, &wish, &x->g->rng);
-	}
-	if (s)
-		x->work = svt_work_of(&x->g->servers, now, &wish, s);
-	return s;
-}
-
 /* Sends the request to a server; without one it ends here. */
 static void attempt(struct exc *x)
 {
@@ -737,7 +473,7 @@
 
 	INVARIANT(rty_may_send(&x->retry),
 		  "exchange: no second send of what may have run");
-	x->server = now + MIN_LEFT_MS < x->deadline ? pick(x, now) : NULL;
+	x->server = now + MIN_LEFT_MS < x->deadline ? exc_pick(x, now) : NULL;
 	if (!x->server) {
 		struct rty_refusal r = rty_refusal(&x->retry, &s);
 
@@ -770,45 +506,6 @@
 	call_server(x, now);
 }
 
-static const char *key_of(const struct gwy *g, struct hs_req *req)
-{
-	const char *value = hs_header(req, "authorization");
-	size_t n = strlen(g->names->auth_scheme);
-
-	if (!value ||
-	    g_ascii_strncasecmp(value, g->names->auth_scheme, n) != 0 ||
-	    value[n] != ' ')
-		return NULL;
-	value += n;
-	return value + strspn(value, " ");
-}
-
-static void refuse_early(struct gwy *g, struct hs_req *req, int status,
-			 const char *reason, uint32_t retry_after_ms)
-{
-	const char *id = hs_header(req, g->names->request_id);
-	const char *host = hs_header(req, "host");
-
-	lge(LGE_REQUEST_REFUSED,
-	    "request=%s host=%s status=%d reason=%s config=%" G_GUINT64_FORMAT
-	    " as_of=%" G_GUINT64_FORMAT " sure=%d",
-	    id ? id : "-", host ? host : "-", status, reason,
-	    g->routes ? g->routes->revision : 0, g->as_of[FED_CONFIG],
-	    gwy_config_is_sure(g, gwy_now(g)));
-	ctr_add(&g->ctr, CTR_REFUSED_NOT_RUN, 1);
-	refuse(g, req, status, vd_name(VD_NOT_RUN), reason, retry_after_ms);
-}
-
-/* A refusal that another configuration might not give is not final. */
-static void refuse_by_config(struct gwy *g, struct hs_req *req, int status,
-			     const char *reason)
-{
-	if (gwy_config_is_sure(g, gwy_now(g)))
-		refuse_early(g, req, status, reason, 0);
-	else
-		refuse_early(g, req, 503, "configuration-unsure", 300);
-}
-
 static uint64_t deadline_of(const struct gwy *g, struct hs_req *req,
 			    const struct rts_route *route, uint64_t now)
 {
@@ -872,8 +569,9 @@
 	return x;
 }
 
-static void start(struct gwy *g, struct hs_req *req,
-		  const struct rts_route *route, rts_handle org, const char *id)
+/* Takes a request that is allowed; it ends by itself. */
+void exc_start(struct gwy *g, struct hs_req *req, const struct rts_route *route,
+	       rts_handle org, const char *id)
 {
 	struct exc *x = new_exchange(g, req, route, org, id);
 	rts_handle service = rts_split(route, rng_next(&g->rng));
@@ -886,114 +584,3 @@
 	hs_watch_gone(req, on_gone, x);
 	attempt(x);
 }
-
-/* Tells whether a field by which the request is judged comes twice. */
-static bool is_ambiguous(const struct gwy *g, struct hs_req *req)
-{
-	const char *const single[] = {g->names->request_id, "authorization",
-				      g->names->deadline};
-
-	for (size_t i = 0; i < G_N_ELEMENTS(single); i++)
-		if (htm_count_of(hs_fields(req), single[i]) > 1)
-			return true;
-	return false;
-}
-
-/* Tells whether the node stops too soon for a request of the route. */
-static bool is_too_late(struct gwy *g, const struct rts_route *route)
-{
-	uint64_t passed = gwy_now(g) - g->drain_at;
-	uint64_t grace = (uint64_t)(1000 * g->settings->grace_s);
-
-	if (!g->draining)
-		return false;
-	return passed + LATE_PLAIN_MS > grace ||
-	       (route->kind == RTS_STREAMING && passed > LATE_STREAM_MS);
-}
-
-struct early {
-	struct gwy *g;
-	struct hs_req *req;
-};
-
-static void on_early_gone(void *user)
-{
-	struct early *e = user;
-
-	g_ptr_array_remove(e->g->early, e);
-	g_free(e);
-}
-
-/* A node that has just started knows all in a moment: the request waits. */
-static bool waits_for_start(struct gwy *g, struct hs_req *req)
-{
-	struct early *e;
-
-	if (gwy_now(g) - g->started_at > EARLY_MS || g->draining)
-		return false;
-	e = g_new0(struct early, 1);
-	e->g = g;
-	e->req = req;
-	g_ptr_array_add(g->early, e);
-	hs_watch_gone(req, on_early_gone, e);
-	return true;
-}
-
-static void take(struct gwy *g, struct hs_req *req);
-
-/* All is known, or the time to wait for it is over: serves who waits. */
-void exc_on_ready(struct gwy *g)
-{
-	while (g->early->len) {
-		struct early *e = g_ptr_array_steal_index(g->early, 0);
-
-		hs_watch_gone(e->req, NULL, NULL);
-		take(g, e->req);
-		g_free(e);
-	}
-}
-
-static void take(struct gwy *g, struct hs_req *req)
-{
-	const char *id = hs_header(req, g->names->request_id);
-	const char *host = hs_header(req, "host");
-	const char *key = key_of(g, req);
-	const struct rts_route *route;
-	rts_handle h, org = RTS_NONE;
-
-	if (!id || !*id || is_ambiguous(g, req)) {
-		refuse_early(g, req, 400, "no-single-request-id-or-key", 0);
-		return;
-	}
-	if (!gwy_knows_all(g)) {
-		refuse_early(g, req, 503, "no-configuration", 400);
-		return;
-	}
-	h = host ? rts_match(g->routes, host, hs_path(req)) : RTS_NONE;
-	if (h == RTS_NONE) {
-		refuse_by_config(g, req, 404, "unknown-route");
-		return;
-	}
-	route = &g->routes->routes[h];
-	if (key)
-		org = rts_org_of_key(g->routes, key);
-	if (org == RTS_NONE && g->routes->n_orgs && !route->is_public) {
-		refuse_by_config(g, req, 401, "unknown-key");
-		return;
-	}
-	if (is_too_late(g, route)) {
-		refuse_early(g, req, 503, "draining", 100);
-		return;
-	}
-	start(g, req, route, org, id);
-}
-
-/* Takes a request of a client; it ends by itself. */
-void exc_on_request(void *gateway, struct hs_req *req)
-{
-	struct gwy *g = gateway;
-
-	ctr_add(&g->ctr, CTR_REQUESTS, 1);
-	if (gwy_knows_all(g) || !waits_for_start(g, req))
-		take(g, req);
-}
--- /dev/null
+++ b/exchange/exchange.h
@@ -0,0 +1,72 @@
+#ifndef EXCHANGE_EXCHANGE_H
+#define EXCHANGE_EXCHANGE_H
+
+#include "daemon/gateway.h"
+#include "exchange/events.h"
+#include "exchange/prompt.h"
+#include "exchange/retry.h"
+#include "rollout/shift.h"
+
+/* One request of a client, from its arrival to its final answer. */
+struct exc {
+	struct gwy *g;
+	struct hs_req *req; /* NULL once the client has gone */
+	struct rts *routes; /* the table that it was taken with */
+	const struct rts_route *route;
+	const char *service;
+	char *id;
+	const char *org; /* of `routes`; NULL: none */
+	uint32_t urgency;
+	uint64_t started_at;
+	uint64_t deadline; /* the client's or the route's, whichever is first */
+	struct prm prompt;
+	uint64_t session; /* hash; 0: none */
+	const char *model; /* of `routes`, chosen by us; NULL: the client's */
+	size_t model_index;
+	struct rty retry;
+	uint64_t tried[SVT_MAX_TRIED];
+	uint32_t n_tried;
+
+	/* the attempt under way */
+	struct hc_call *call;
+	struct svt_server *server;
+	struct svt_work work; /* counted at the server */
+	uint64_t attempt_at;
+	struct rty_answer answer;
+	struct htm_fields head;
+	GString *body;
+	bool streamed; /* the answer is a stream of events */
+	bool unframed; /* it ends with its connection */
+	enum evs_fault fault;
+	double head_ms;
+	bool sent_by_shift; /* a roll-out of the service runs */
+	enum sft_version version; /* with sent_by_shift */
+	uint64_t attempt_events;
+	uint64_t first_event_at;
+	uint64_t last_event_at;
+	const char *server_version; /* of the last attempt, interned */
+
+	/* what the client has of the answer */
+	struct evs events;
+	bool begun;
+	bool begun_unframed;
+	char *first_server;
+	double first_ms; /* to the first event */
+
+	/* an answer of a server that failed, given if no better comes */
+	int spare_status;
+	struct htm_fields spare_head;
+	GString *spare_body;
+	bool spare_unframed;
+};
+
+void exc_start(struct gwy *g, struct hs_req *req, const struct rts_route *route,
+	       rts_handle org, const char *id);
+void exc_refuse(struct gwy *g, struct hs_req *req, int status,
+		const char *verdict, const char *reason,
+		uint32_t retry_after_ms);
+struct svt_server *exc_pick(struct exc *x, uint64_t now);
+double exc_chance_on_time(struct exc *x, uint64_t now, size_t model);
+char *exc_request_headers(const struct exc *x, uint64_t now);
+
+#endif
--- /dev/null
+++ b/exchange/intake-task.c
@@ -0,0 +1,181 @@
+#include "exchange/intake-task.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "exchange/exchange.h"
+#include "log-event.h"
+
+#define LATE_STREAM_MS 2500
+#define LATE_PLAIN_MS 1300 /* before the end of the time of grace */
+#define EARLY_MS 500 /* after the start: requests wait for what is to know */
+
+/* Answers a request with a refusal of our own. */
+void exc_refuse(struct gwy *g, struct hs_req *req, int status,
+		const char *verdict, const char *reason,
+		uint32_t retry_after_ms)
+{
+	g_autofree char *body = g_strdup_printf(
+		"{\"error\":{\"verdict\":\"%s\",\"reason\":\"%s\"}}", verdict,
+		reason);
+	const char *id = hs_header(req, g->names->request_id);
+	char after[32];
+
+	if (id)
+		hs_add_header(req, g->names->request_id, id);
+	if (retry_after_ms) {
+		snprintf(after, sizeof(after), "%.2f", retry_after_ms / 1000.0);
+		hs_add_header(req, "Retry-After", after);
+	}
+	hs_reply_json(req, status, body);
+}
+
+static const char *key_of(const struct gwy *g, struct hs_req *req)
+{
+	const char *value = hs_header(req, "authorization");
+	size_t n = strlen(g->names->auth_scheme);
+
+	if (!value ||
+	    g_ascii_strncasecmp(value, g->names->auth_scheme, n) != 0 ||
+	    value[n] != ' ')
+		return NULL;
+	value += n;
+	return value + strspn(value, " ");
+}
+
+static void refuse_early(struct gwy *g, struct hs_req *req, int status,
+			 const char *reason, uint32_t retry_after_ms)
+{
+	const char *id = hs_header(req, g->names->request_id);
+	const char *host = hs_header(req, "host");
+
+	lge(LGE_REQUEST_REFUSED,
+	    "request=%s host=%s status=%d reason=%s config=%" G_GUINT64_FORMAT
+	    " as_of=%" G_GUINT64_FORMAT " sure=%d",
+	    id ? id : "-", host ? host : "-", status, reason,
+	    g->routes ? g->routes->revision : 0, g->as_of[FED_CONFIG],
+	    gwy_config_is_sure(g, gwy_now(g)));
+	ctr_add(&g->ctr, CTR_REFUSED_NOT_RUN, 1);
+	exc_refuse(g, req, status, vd_name(VD_NOT_RUN), reason, retry_after_ms);
+}
+
+/* A refusal that another configuration might not give is not final. */
+static void refuse_by_config(struct gwy *g, struct hs_req *req, int status,
+			     const char *reason)
+{
+	if (gwy_config_is_sure(g, gwy_now(g)))
+		refuse_early(g, req, status, reason, 0);
+	else
+		refuse_early(g, req, 503, "configuration-unsure", 300);
+}
+
+/* Tells whether a field by which the request is judged comes twice. */
+static bool is_ambiguous(const struct gwy *g, struct hs_req *req)
+{
+	const char *const single[] = {g->names->request_id, "authorization",
+				      g->names->deadline};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(single); i++)
+		if (htm_count_of(hs_fields(req), single[i]) > 1)
+			return true;
+	return false;
+}
+
+/* Tells whether the node stops too soon for a request of the route. */
+static bool is_too_late(struct gwy *g, const struct rts_route *route)
+{
+	uint64_t passed = gwy_now(g) - g->drain_at;
+	uint64_t grace = (uint64_t)(1000 * g->settings->grace_s);
+
+	if (!g->draining)
+		return false;
+	return passed + LATE_PLAIN_MS > grace ||
+	       (route->kind == RTS_STREAMING && passed > LATE_STREAM_MS);
+}
+
+struct early {
+	struct gwy *g;
+	struct hs_req *req;
+};
+
+static void on_early_gone(void *user)
+{
+	struct early *e = user;
+
+	g_ptr_array_remove(e->g->early, e);
+	g_free(e);
+}
+
+/* A node that has just started knows all in a moment: the request waits. */
+static bool waits_for_start(struct gwy *g, struct hs_req *req)
+{
+	struct early *e;
+
+	if (gwy_now(g) - g->started_at > EARLY_MS || g->draining)
+		return false;
+	e = g_new0(struct early, 1);
+	e->g = g;
+	e->req = req;
+	g_ptr_array_add(g->early, e);
+	hs_watch_gone(req, on_early_gone, e);
+	return true;
+}
+
+static void take(struct gwy *g, struct hs_req *req);
+
+/* All is known, or the time to wait for it is over: serves who waits. */
+void exc_on_ready(struct gwy *g)
+{
+	while (g->early->len) {
+		struct early *e = g_ptr_array_steal_index(g->early, 0);
+
+		hs_watch_gone(e->req, NULL, NULL);
+		take(g, e->req);
+		g_free(e);
+	}
+}
+
+static void take(struct gwy *g, struct hs_req *req)
+{
+	const char *id = hs_header(req, g->names->request_id);
+	const char *host = hs_header(req, "host");
+	const char *key = key_of(g, req);
+	const struct rts_route *route;
+	rts_handle h, org = RTS_NONE;
+
+	if (!id || !*id || is_ambiguous(g, req)) {
+		refuse_early(g, req, 400, "no-single-request-id-or-key", 0);
+		return;
+	}
+	if (!gwy_knows_all(g)) {
+		refuse_early(g, req, 503, "no-configuration", 400);
+		return;
+	}
+	h = host ? rts_match(g->routes, host, hs_path(req)) : RTS_NONE;
+	if (h == RTS_NONE) {
+		refuse_by_config(g, req, 404, "unknown-route");
+		return;
+	}
+	route = &g->routes->routes[h];
+	if (key)
+		org = rts_org_of_key(g->routes, key);
+	if (org == RTS_NONE && g->routes->n_orgs && !route->is_public) {
+		refuse_by_config(g, req, 401, "unknown-key");
+		return;
+	}
+	if (is_too_late(g, route)) {
+		refuse_early(g, req, 503, "draining", 100);
+		return;
+	}
+	exc_start(g, req, route, org, id);
+}
+
+/* Takes a request of a client; it ends by itself. */
+void exc_on_request(void *gateway, struct hs_req *req)
+{
+	struct gwy *g = gateway;
+
+	ctr_add(&g->ctr, CTR_REQUESTS, 1);
+	if (gwy_knows_all(g) || !waits_for_start(g, req))
+		take(g, req);
+}
--- a/exchange/exchange-task.h
+++ b/exchange/intake-task.h
@@ -1,5 +1,5 @@
-#ifndef EXCHANGE_EXCHANGE_TASK_H
-#define EXCHANGE_EXCHANGE_TASK_H
+#ifndef EXCHANGE_INTAKE_TASK_H
+#define EXCHANGE_INTAKE_TASK_H
 
 struct gwy;
 struct hs_req;
--- /dev/null
+++ b/exchange/place-task.c
@@ -0,0 +1,125 @@
+#include "exchange/exchange.h"
+
+#include <string.h>
+
+#include "rollout/shift-task.h"
+
+#define LONG_STREAM 1.6 /* to the mean number of events */
+#define MODEL_MIX 0x9e3779b97f4a7c15ULL
+
+/* A model's share of the cost of the route's dearest one. */
+static double model_weight(const struct exc *x, const char *model)
+{
+	const struct rts_route *r = x->route;
+	double most = 0, cost;
+
+	if (r->kind != RTS_STREAMING || !x->prompt.input_tokens)
+		return 0;
+	for (size_t i = 0; i < r->n_models; i++)
+		most = MAX(most, rts_model_cost(x->routes, r, r->models[i]));
+	cost = model ? rts_model_cost(x->routes, r, model) : most;
+	return most > 0 ? MAX(cost / most, 0.01) : 1;
+}
+
+/* The cache of a model serves no other one. */
+static uint64_t affinity_of(const struct exc *x, size_t model)
+{
+	return x->prompt.shared ? x->prompt.shared ^ (model * MODEL_MIX) : 0;
+}
+
+static enum sft_seen seen_on(const struct exc *x, const struct sft *s,
+			     uint64_t now)
+{
+	uint64_t was = rcs_version(&x->g->recent, now, x->session);
+
+	if (!was)
+		return SFT_UNSEEN;
+	return was == sht_version_hash(s->target) ? SFT_SEEN_NEW : SFT_SEEN_OLD;
+}
+
+/* Chooses between old and new servers while a roll-out is known. */
+static void choose_version(struct exc *x, uint64_t now, struct svt_wish *wish)
+{
+	const struct sft *s = sht_find(x->g->shifts, x->service);
+	uint64_t hash = x->session ? x->session : rng_next(&x->g->rng);
+
+	if (!s)
+		return;
+	if (!x->sent_by_shift || s->plan.state != SFT_TRIAL)
+		x->version = sft_choose(s, now, hash, seen_on(x, s, now));
+	x->sent_by_shift = true;
+	wish->version = s->target;
+	wish->versions = x->version == SFT_NEW ? SVT_ONLY : SVT_NOT;
+}
+
+/*
+ * The other version serves where the chosen one has no server at all, but for
+ * a new one that is on trial or failed.
+ */
+static bool may_use_other(const struct exc *x)
+{
+	const struct sft *s = sht_find(x->g->shifts, x->service);
+
+	if (!s)
+		return false;
+	return x->version == SFT_NEW || s->plan.state == SFT_COMPLETED;
+}
+
+/* What is wanted of a server for an attempt with that model. */
+static struct svt_wish wish_of(struct exc *x, uint64_t now, size_t model)
+{
+	struct svt_wish wish = {
+		.service = x->service,
+		.zone = x->g->settings->zone,
+		.affinity = affinity_of(x, model),
+		.shared_tokens = x->prompt.shared_tokens,
+		.input_tokens = x->prompt.input_tokens,
+		.weight = model_weight(x, x->model ? x->route->models[model]
+						   : NULL),
+		.n_tried = x->n_tried,
+	};
+
+	memcpy(wish.tried, x->tried, sizeof(wish.tried));
+	choose_version(x, now, &wish);
+	return wish;
+}
+
+/*
+ * The chance that another model's first event comes within the objective and
+ * its last one before the deadline.
+ */
+double exc_chance_on_time(struct exc *x, uint64_t now, size_t model)
+{
+	struct svt_wish wish = wish_of(x, now, model);
+	struct svt_outlook o = svt_expect(&x->g->servers, now, &wish);
+	double passed = (double)(now - x->started_at);
+	double whole_ms =
+		o.first_ms + o.event_ms * LONG_STREAM *
+				     len_mean(&x->g->lengths, x->route->name);
+	double finish = csc_chance((double)(x->deadline - now), whole_ms);
+
+	if (!x->route->objective_ms)
+		return finish;
+	return MIN(finish,
+		   csc_chance(x->route->objective_ms - passed, o.first_ms));
+}
+
+/*
+ * Chooses the server of the next attempt, or returns NULL; counts in x->work
+ * what the request adds to it.
+ */
+struct svt_server *exc_pick(struct exc *x, uint64_t now)
+{
+	struct svt_server *s;
+	struct svt_wish wish = wish_of(x, now, x->model_index);
+
+	s = svt_pick(&x->g->servers, now, &wish, &x->g->rng);
+	if (!s && wish.versions != SVT_ANY_VERSION && may_use_other(x)) {
+		x->version = x->version == SFT_NEW ? SFT_OLD : SFT_NEW;
+		wish.versions = x->version == SFT_NEW ? SVT_ONLY : SVT_NOT;
+		s = svt_pick(&x->g->servers, now, &wish, &x->g->rng);
+	}
+	if (s)
+		x->work = svt_work_of(&x->g->servers, now, &wish, s);
+	return s;
+}
