--- a/exchange/cascade.c
+++ b/exchange/cascade.c
@@ -4,6 +4,8 @@
 #include <string.h>
 
 #define DEFAULT_TARGET 0.75
+#define SURE_SHARE 0.1 /* of the time left: surely on time */
+#define STEEPNESS 2.5 /* loss of chance for each further share */
 
 /*
  * Reads targets by priority, "0.9,0.75". NULL is a list of one. False: the
@@ -46,13 +48,15 @@
 
 /*
  * Returns the chance, 0 to 1, that an answer expected after expected_ms comes
- * within left_ms: one half where both are equal.
+ * within left_ms, lowered by what the request would cost others: a server
+ * where the delay is long has many to delay further.
  */
 double csc_chance(double left_ms, double expected_ms)
 {
 	if (left_ms <= 0)
 		return 0;
-	return CLAMP(1.5 - expected_ms / left_ms, 0, 1);
+	return CLAMP(1 + STEEPNESS * (SURE_SHARE - expected_ms / left_ms), 0,
+		     1);
 }
 
 /*
--- a/exchange/servers.c
+++ b/exchange/servers.c
@@ -15,6 +15,7 @@
 #define FULL_MS 500.0
 #define FAILURE_FACTOR 4
 #define HEAVY_WEIGHT 0.5
+#define SHORT_MS 60.0
 #define RATIO_MIN 0.2
 #define RATIO_MAX 20.0
 #define RATIO_WEIGHT 0.05
@@ -397,6 +398,7 @@
 	if (!s)
 		return out;
 	out.first_ms =
+		t->delay_base +
 		svt_work_of(t, now, wish, s).expected_ms * t->delay_ratio;
 	out.event_ms = wish->weight *
 		       (s->event_ms > 0 ? s->event_ms : t->usual_event_ms);
@@ -408,10 +410,15 @@
 {
 	double ratio;
 
-	if (work->weight < HEAVY_WEIGHT || work->expected_ms < 1)
+	if (work->weight < HEAVY_WEIGHT)
 		return;
-	ratio = CLAMP(first_ms / work->expected_ms, RATIO_MIN, RATIO_MAX);
-	t->delay_ratio += RATIO_WEIGHT * (ratio - t->delay_ratio);
+	if (work->expected_ms < SHORT_MS) {
+		t->delay_base += RATIO_WEIGHT * (first_ms - t->delay_base);
+		return;
+	}
+	ratio = MAX(first_ms - t->delay_base, 0) / work->expected_ms;
+	t->delay_ratio += RATIO_WEIGHT *
+			  (CLAMP(ratio, RATIO_MIN, RATIO_MAX) - t->delay_ratio);
 }
 
 /*
--- a/exchange/servers.h
+++ b/exchange/servers.h
@@ -72,7 +72,8 @@
 	GPtrArray *all;
 	double usual_ms; /* mean time to the head of plain answers */
 	double usual_event_ms; /* of all servers */
-	double delay_ratio; /* true delays of model requests to expected ones */
+	double delay_base; /* ms to a first event at an idle server */
+	double delay_ratio; /* what comes on top, to what was expected */
 };
 
 enum svt_outcome {
