--- a/exchange/servers.c
+++ b/exchange/servers.c
@@ -10,6 +10,7 @@
 #define OTHER_ZONE_LOAD 0.35
 #define COLD_FACTOR 1.6
 #define READ_MS_PER_TOKEN 0.021
+#define REREAD_MS_PER_TOKEN 0.06
 #define DECODE_MS 20.0
 #define OTHER_ZONE_MS 3.0
 #define FULL_MS 500.0
@@ -340,6 +341,8 @@
 		ms += FULL_MS;
 	if (g_strcmp0(s->zone, w->zone) != 0)
 		ms += OTHER_ZONE_MS;
+	if (!at_home)
+		ms += REREAD_MS_PER_TOKEN * w->shared_tokens;
 	return ms;
 }
 
