exchange: blame a version for broken answers only if the server lives

Ruled out: refused connections (not counted), times (why=error). Change: answers that break off wait at their server and count when a request begun later is answered by it; a crash is followed by no answer.

--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -195,18 +195,21 @@
 static void add_evidence(struct exc *x)
 {
 	struct sft *shift = sht_find(x->g->shifts, x->service);
-	bool failed = x->answer.result == RTY_BROKEN || x->answer.status >= 500;
-	double first = x->head_ms, event = event_ms(x);
+	uint64_t route = XXH3_64bits(x->route->name, strlen(x->route->name));
+	double first = x->head_ms;
 
 	if (!shift || !x->sent_by_shift)
 		return;
-	if (x->answer.result != RTY_GOOD && x->answer.result != RTY_BROKEN)
+	if (x->answer.result == RTY_BROKEN)
+		svt_on_broken(x->server, gwy_now(x->g));
+	if (x->answer.result != RTY_GOOD)
 		return;
+	for (uint32_t n = svt_take_broken(x->server, x->attempt_at); n; n--)
+		sft_on_answer(shift, x->version, route, true, 0, 0);
 	if (x->attempt_events)
 		first = (double)(x->first_event_at - x->attempt_at) + 0.5;
-	sft_on_answer(shift, x->version,
-		      XXH3_64bits(x->route->name, strlen(x->route->name)),
-		      failed, first, event);
+	sft_on_answer(shift, x->version, route, x->answer.status >= 500, first,
+		      event_ms(x));
 }
 
 static void settle_server(struct exc *x, enum hc_end end)
--- a/exchange/servers.c
+++ b/exchange/servers.c
@@ -14,6 +14,7 @@
 #define DECODE_MS 20.0
 #define OTHER_ZONE_MS 3.0
 #define FULL_MS 500.0
+#define BROKEN_MOST 3 /* told together */
 #define FAILURE_FACTOR 4
 #define HEAVY_WEIGHT 0.5
 #define SHORT_MS 60.0
@@ -454,6 +455,28 @@
 	work->prefill = 0;
 }
 
+/* An answer of the server broke off. */
+void svt_on_broken(struct svt_server *s, uint64_t now)
+{
+	if (!s->broken++)
+		s->broken_at = now;
+}
+
+/*
+ * A request that began at that time has been answered by the server. Returns
+ * how many answers broke off before, each told once: the server lives, so that
+ * its version is to blame, not a crash.
+ */
+uint32_t svt_take_broken(struct svt_server *s, uint64_t began_at)
+{
+	uint32_t n = s->broken;
+
+	if (!n || began_at < s->broken_at)
+		return 0;
+	s->broken = 0;
+	return MIN(n, BROKEN_MOST);
+}
+
 /* Takes the mean time between events of a stream, per unit of weight. */
 void svt_on_pace(struct svt *t, struct svt_server *s, double event_ms)
 {
--- a/exchange/servers.h
+++ b/exchange/servers.h
@@ -60,6 +60,8 @@
 	uint64_t reported_at;
 	double slowness; /* its times relative to those of all; 1: as all */
 	double failure; /* recent share of failed calls */
+	uint32_t broken; /* answers broken since broken_at, not told yet */
+	uint64_t broken_at;
 	uint32_t failures; /* in a row */
 	uint64_t ejected_until;
 	uint64_t ejections; /* in a row */
@@ -140,6 +142,8 @@
 void svt_on_first(struct svt *t, const struct svt_work *work, double first_ms);
 void svt_on_work(struct svt_server *s, const struct svt_work *work);
 void svt_on_read(struct svt_server *s, struct svt_work *work);
+void svt_on_broken(struct svt_server *s, uint64_t now);
+uint32_t svt_take_broken(struct svt_server *s, uint64_t began_at);
 void svt_on_pace(struct svt *t, struct svt_server *s, double event_ms);
 void svt_on_start(struct svt_server *s);
 void svt_on_load(struct svt_server *s, uint64_t now, uint32_t running,
--- a/t/unit/exchange_test.cc
+++ b/t/unit/exchange_test.cc
@@ -461,6 +461,18 @@
 	EXPECT_STREQ(s.pick({}, 1), "a");
 }
 
+TEST(Servers, BrokenAnswersAreTheVersionsFaultOnlyIfTheServerLives)
+{
+	Servers s;
+	svt_server *a = s.put("a"), *crashed = s.put("b");
+	svt_on_broken(crashed, 100);
+	svt_on_broken(a, 100);
+	svt_on_broken(a, 120);
+	EXPECT_EQ(svt_take_broken(a, 90), 0u) << "began before the break";
+	EXPECT_EQ(svt_take_broken(a, 130), 2u);
+	EXPECT_EQ(svt_take_broken(a, 140), 0u) << "told once";
+}
+
 TEST(Servers, LongPromptsGoWhereLessWaitsToBeRead)
 {
 	Servers s;
