exchange: keep to this node's part of a server's connections

Cause: read in the settings of services: max_connections is of the whole fleet, and nothing kept to it; kept connections to servers that are gone stayed until their idle time. Change: a node has no more requests at a server than its part by the live nodes; connections to servers that are gone are closed with them.

--- a/daemon/gateway.c
+++ b/daemon/gateway.c
@@ -321,6 +321,21 @@
 		stop(g);
 }
 
+/* Lets go of servers that are gone and of the connections to them. */
+static void sweep_servers(struct gwy *g)
+{
+	for (guint i = 0; i < g->servers.all->len; i++) {
+		const struct svt_server *s = g->servers.all->pdata[i];
+		g_autofree char *pool = NULL;
+
+		if (s->state != SVT_GONE || s->in_flight)
+			continue;
+		pool = exc_pool_name(s);
+		hc_forget(g->http, pool);
+	}
+	svt_sweep(&g->servers);
+}
+
 static void on_tick(uv_timer_t *timer)
 {
 	struct gwy *g = timer->data;
@@ -332,7 +347,7 @@
 	sht_tick(g->shifts, now);
 	lds_apply(&g->loads, now, &g->servers);
 	if (ticks % SWEEP_TICKS == 0) {
-		svt_sweep(&g->servers);
+		sweep_servers(g);
 		rcs_sweep(&g->recent, now);
 	}
 	if (ticks % SETTINGS_CHECK_TICKS == 0 && settings_changed(g))
--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "exchange/intake-task.h"
 #include "invariant.h"
 #include "log-event.h"
 #include "rollout/shift-task.h"
@@ -429,12 +430,20 @@
 
 static const struct hc_events server_events = {on_head, on_data, on_done};
 
+/*
+ * Returns the name of the kept connections to a server, newly allocated: an
+ * address may come to belong to another one.
+ */
+char *exc_pool_name(const struct svt_server *s)
+{
+	return g_strdup_printf("%s/%s", s->address, s->id);
+}
+
 static void call_server(struct exc *x, uint64_t now)
 {
 	struct gwy *g = x->g;
 	g_autofree char *headers = exc_request_headers(x, now);
-	g_autofree char *pool =
-		g_strdup_printf("%s/%s", x->server->address, x->server->id);
+	g_autofree char *pool = exc_pool_name(x->server);
 	size_t len;
 	const char *body = hs_body(x->req, &len);
 	bool repeatable = rts_may_repeat(x->route);
--- a/exchange/place-task.c
+++ b/exchange/place-task.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "fleet/fleet-task.h"
 #include "rollout/shift-task.h"
 
 #define LONG_STREAM 1.6 /* to the mean number of events */
@@ -65,6 +66,15 @@
 	return x->version == SFT_NEW || s->plan.state == SFT_COMPLETED;
 }
 
+/* This node's part of the connections that a server takes from the fleet. */
+static uint32_t most_in_flight(const struct exc *x)
+{
+	rts_handle h = rts_find_service(x->routes, x->service);
+	uint32_t most = x->routes->services[h].max_connections;
+
+	return most ? MAX(most / flt_live(x->g->fleet), 1) : 0;
+}
+
 /* What is wanted of a server for an attempt with that model. */
 static struct svt_wish wish_of(struct exc *x, uint64_t now, size_t model)
 {
@@ -77,6 +87,7 @@
 		.weight = model_weight(x, x->model ? x->route->models[model]
 						   : NULL),
 		.n_tried = x->n_tried,
+		.most_in_flight = most_in_flight(x),
 	};
 
 	memcpy(wish.tried, x->tried, sizeof(wish.tried));
--- a/exchange/servers.c
+++ b/exchange/servers.c
@@ -240,6 +240,8 @@
 static bool is_candidate(const struct svt_server *s, uint64_t now,
 			 const struct svt_wish *w, bool ejected_too)
 {
+	if (w->most_in_flight && s->in_flight >= w->most_in_flight)
+		return false;
 	return s->state == SVT_READY && !s->misdirected &&
 	       !strcmp(s->service, w->service) && version_fits(w, s) &&
 	       !was_tried(w, s) && (ejected_too || s->ejected_until <= now);
--- a/exchange/servers.h
+++ b/exchange/servers.h
@@ -103,6 +103,7 @@
 	uint32_t shared_tokens; /* of the prompt up to it */
 	uint32_t input_tokens; /* of the whole prompt */
 	double weight; /* of the model, 0 to 1; 0: no model request */
+	uint32_t most_in_flight; /* of this node at one server; 0: any */
 	uint64_t tried[SVT_MAX_TRIED]; /* hashes of their ids */
 	uint32_t n_tried;
 };
--- a/t/unit/exchange_test.cc
+++ b/t/unit/exchange_test.cc
@@ -435,6 +435,18 @@
 	EXPECT_STREQ(s.pick({}), "b");
 }
 
+TEST(Servers, ANodeKeepsToItsPartOfAServersConnections)
+{
+	Servers s;
+	svt_server *a = s.put("a");
+	svt_wish w = {};
+	w.most_in_flight = 2;
+	svt_on_start(a);
+	EXPECT_STREQ(s.pick(w), "a");
+	svt_on_start(a);
+	EXPECT_STREQ(s.pick(w), "none");
+}
+
 TEST(Servers, VersionsAreKeptApart)
 {
 	Servers s;
