rollout: move all traffic only when that is safe whatever the version is

Change: a trial of 4 %, then all at once when what is still to come fits into the bound of a bad version; done 1.2 s before the time.

--- a/rollout/shift.c
+++ b/rollout/shift.c
@@ -2,17 +2,13 @@
 
 #include <string.h>
 
-#define TRIAL_SHARE 0.10
+#define TRIAL_SHARE 0.04
 #define WARM_UP_MS 1000
-#define WHOLE_FROM 0.68
-#define HALF_FROM 0.60
-#define QUARTER_FROM 0.52
 #define MOVE_FROM 0.5
-#define COMPLETE_FROM 0.82
-#define COMPLETE_AT_LAST 0.95
-#define WHOLE_LEAST_MS 1200
-#define ENOUGH_ANSWERS 40
-#define EXPOSED_PART 0.6
+#define LAST_MS 1200 /* before the time is over */
+#define WHOLE_LEAST_MS 1000
+#define ENOUGH_ANSWERS 8
+#define EXPOSED_PART 0.9
 #define LEAST_BAD 0.03
 #define MARGIN 0.15
 #define STOP_AT 5.0
@@ -309,57 +305,73 @@
 	return n;
 }
 
-static double scheduled_share(const struct sft *s, uint64_t now, bool proven)
+/*
+ * Tells whether all requests from now on may go to the new version, until the
+ * time is over, within what a bad version may get. Such a step needs no verdict
+ * to be safe: what shows only under load, or late, shows in few requests.
+ */
+static bool whole_is_safe(const struct sft *s, uint64_t now,
+			  const struct sft_params *p,
+			  const struct sft_evidence *e)
 {
-	double f = (double)sft_age(s, now) / s->over_ms;
+	double age = sft_age(s, now);
+	double left_ms = s->over_ms > age ? s->over_ms - age : 0;
+	double to_come = e->requests / MAX(age, 1) * left_ms;
+	double allowed =
+		p->expose_share * (e->requests + to_come) + p->expose_slack;
 
-	if (sft_age(s, now) < s->session_ms + WARM_UP_MS)
-		return 0;
-	if (f < QUARTER_FROM || (!proven && f < HALF_FROM))
-		return TRIAL_SHARE;
-	if (f < HALF_FROM)
-		return 0.25;
-	if (f < WHOLE_FROM)
-		return 0.5;
-	return 1;
+	return e->sent_new + to_come <= EXPOSED_PART * allowed;
 }
 
-static bool is_exposed_enough(const struct sft_evidence *e,
-			      const struct sft_params *p)
+static bool trial_is_safe(const struct sft_params *p,
+			  const struct sft_evidence *e)
 {
-	return e->sent_new >=
+	return e->sent_new <
 	       EXPOSED_PART * (p->expose_share * e->requests + p->expose_slack);
 }
 
+static double wanted_share(const struct sft *s, uint64_t now,
+			   const struct sft_params *p,
+			   const struct sft_evidence *e)
+{
+	if (sft_age(s, now) < s->session_ms + WARM_UP_MS)
+		return 0;
+	if (sft_age(s, now) >= MOVE_FROM * s->over_ms &&
+	    judged_new(e) >= ENOUGH_ANSWERS && whole_is_safe(s, now, p, e))
+		return 1;
+	return trial_is_safe(p, e) ? TRIAL_SHARE : 0;
+}
+
+/*
+ * The old servers stop at once when the order is completed: what runs there
+ * gets time to end, as far as there is some.
+ */
 static bool may_complete(const struct sft *s, uint64_t now,
 			 const struct sft_evidence *e)
 {
-	double f = (double)sft_age(s, now) / s->over_ms;
+	uint32_t age = sft_age(s, now);
 
-	if (!s->whole_since || now - s->whole_since < WHOLE_LEAST_MS ||
-	    f < COMPLETE_FROM)
+	if (!s->whole_since || now - s->whole_since < WHOLE_LEAST_MS)
 		return false;
-	return !e->old_in_flight || f >= COMPLETE_AT_LAST;
+	return !e->old_in_flight || age + LAST_MS >= s->over_ms;
 }
 
 /*
- * Makes the plan, as the node that judges: the share grows with time and
- * evidence. Until half of the time the new version gets new sessions only,
- * and not more than a part of what a bad version may get.
+ * Makes the plan, as the node that judges. Until half of the time the new
+ * version gets new sessions only.
  */
 struct sft_plan sft_judge(struct sft *s, uint64_t now,
 			  const struct sft_params *p, uint32_t ready_new)
 {
 	struct sft_evidence sum = sft_total(s);
-	bool proven = judged_new(&sum) >= ENOUGH_ANSWERS;
 	struct sft_plan plan = s->plan;
 	uint32_t wanted;
 
 	plan.age_ms = sft_age(s, now);
 	if (plan.state != SFT_TRIAL)
 		return plan;
-	wanted = (uint32_t)(SFT_WHOLE * scheduled_share(s, now, proven));
-	if (!ready_new || (!proven && is_exposed_enough(&sum, p)))
+	wanted = (uint32_t)(SFT_WHOLE * wanted_share(s, now, p, &sum));
+	if (!ready_new)
 		wanted = plan.share;
 	plan.share = MAX(plan.share, wanted);
 	if (may_complete(s, now, &sum) && ready_new)
--- a/t/unit/shift_test.cc
+++ b/t/unit/shift_test.cc
@@ -116,6 +116,8 @@
 			EXPECT_EQ(f.nodes[0]->plan.state, SFT_COMPLETED)
 				<< "seed " << seed;
 			EXPECT_LE(f.moved, 3) << "seed " << seed;
+			EXPECT_LE(f.sent_new, 0.15 * f.requests + 30)
+				<< "as if it were bad and never showed it";
 		}
 	}
 }
