--- a/t/t0012-fleet.sh
+++ b/t/t0012-fleet.sh
@@ -66,6 +66,7 @@
 load 15 ok
 is_completed() { [ "$(status)" = completed ]; }
 until_true 3 is_completed || fail "the roll-out is $(status)"
+sleep 0.3
 expect "writes of its end" 1 "$(cat "$WORK"/route?.log | grep -c 'E422 .*effect=1')"
 lines=$(cat <(curl -fs "http://$(backend 1)/ran") <(curl -fs "http://$(backend 2)/ran") <(curl -fs "http://$(backend 3)/ran") | wc -l)
 for i in 1 2 3 4 5 6; do expect "read" 200 "$(send $((i % 3 + 1)) GET /read/ok)"; done
