rollout: need no least number of answers for the safe step

Cause: services with little traffic never got the answers that the step to all traffic waited for (t0012: 16 s, some 30 requests a second), though the step is within the bound whatever they say. Change: the condition is gone; t0012 runs with sessions of 2 s, so that its trials have the answers that they are to show.

--- a/rollout/shift.c
+++ b/rollout/shift.c
@@ -7,7 +7,6 @@
 #define MOVE_FROM 0.5
 #define LAST_MS 1200 /* before the time is over */
 #define WHOLE_LEAST_MS 1000
-#define ENOUGH_ANSWERS 8
 #define EXPOSED_PART 0.9
 #define LEAST_BAD 0.03
 #define MARGIN 0.15
@@ -295,16 +294,6 @@
 	return false;
 }
 
-static uint32_t judged_new(const struct sft_evidence *e)
-{
-	uint32_t n = 0;
-
-	for (uint32_t i = 0; i < e->n_cells; i++)
-		n += *counts_of((struct sft_cell *)&e->cells[i], SFT_NEW,
-				SFT_ERROR);
-	return n;
-}
-
 /*
  * Tells whether all requests from now on may go to the new version, until the
  * time is over, within what a bad version may get. Such a step needs no verdict
@@ -337,7 +326,7 @@
 	if (sft_age(s, now) < s->session_ms + WARM_UP_MS)
 		return 0;
 	if (sft_age(s, now) >= MOVE_FROM * s->over_ms &&
-	    judged_new(e) >= ENOUGH_ANSWERS && whole_is_safe(s, now, p, e))
+	    whole_is_safe(s, now, p, e))
 		return 1;
 	return trial_is_safe(p, e) ? TRIAL_SHARE : 0;
 }
--- a/t/lib-routes.sh
+++ b/t/lib-routes.sh
@@ -63,7 +63,7 @@
 		"platform_address": "${NODE_STORE:-$STORE}",
 		"operator_key": "$CHIVEGW_OPERATOR_KEY",
 		"cluster_key": "demo-cluster-key-0123456789",
-		"grace_s": 4, "quality_targets": "0.5"${2:+, $2}
+		"grace_s": 4, "session_s": 2, "quality_targets": "0.5"${2:+, $2}
 	}
 	END
 	echo "$WORK/route$1.jsonc"
