exchange: ask a server again where there is no other

Cause: read in the code: with one ready server the small model's answer was dropped for a larger one, no server was left to ask, and the client got 502. Installations with one engine would have had no good answers. Ruled out: the attempts' bound (not reached). Change: what may be repeated goes to servers asked before if there is no other, but for those that refused it.

--- a/exchange/place-task.c
+++ b/exchange/place-task.c
@@ -115,16 +115,28 @@
 		   csc_chance(x->route->objective_ms - passed, o.first_ms));
 }
 
+/* Tells whether a server may be asked again that was asked before. */
+static bool may_ask_again(const struct exc *x)
+{
+	return x->n_tried && x->retry.repeatable &&
+	       x->answer.result != RTY_REFUSED &&
+	       x->answer.result != RTY_MISDIRECTED;
+}
+
 /*
  * Chooses the server of the next attempt, or returns NULL; counts in x->work
- * what the request adds to it.
+ * what the request adds to it. Servers that were not asked yet go first, the
+ * version chosen before the other one.
  */
 struct svt_server *exc_pick(struct exc *x, uint64_t now)
 {
-	struct svt_server *s;
 	struct svt_wish wish = wish_of(x, now, x->model_index);
+	struct svt_server *s = svt_pick(&x->g->servers, now, &wish, &x->g->rng);
 
-	s = svt_pick(&x->g->servers, now, &wish, &x->g->rng);
+	if (!s && may_ask_again(x)) {
+		wish.n_tried = 0;
+		s = svt_pick(&x->g->servers, now, &wish, &x->g->rng);
+	}
 	if (!s && wish.versions != SVT_ANY_VERSION && may_use_other(x)) {
 		x->version = x->version == SFT_NEW ? SFT_OLD : SFT_NEW;
 		wish.versions = x->version == SFT_NEW ? SVT_ONLY : SVT_NOT;
--- a/t/t0011-routes.sh
+++ b/t/t0011-routes.sh
@@ -160,6 +160,16 @@
 for i in 1 2 3 4 5 6 7 8; do expect "read" 200 "$(send 1 GET /read/ok)"; done
 expect "runs at the leaving server" "$lines" "$(curl -fs "http://$(backend 1)/ran" | wc -l)"
 
+say "one server is enough for a second attempt and a larger model"
+enter 2 desk v1 draining
+sleep 0.5
+expect "stream" 200 "$(stream stream)"
+expect "events" "$events" "$(cat "$WORK/body")"
+expect "runs with the large model" 1 "$(runs_line "$(cat "$WORK/id")" | grep -c 'model=large')"
+expect "cut stream" 200 "$(stream stream-cut)"
+expect "events of the cut stream" "$events" "$(cat "$WORK/body")"
+enter 2 desk v1 ready
+
 say "settings: read on a signal and when the file changes; bad ones change nothing"
 route_settings 1 '"retry_burst": 60' >/dev/null
 kill -HUP "${PIDS[route1]}"
