--- a/fleet/state-task.c
+++ b/fleet/state-task.c
@@ -1,6 +1,7 @@
 #include "fleet/state-task.h"
 
 #include <arpa/inet.h>
+#include <openssl/crypto.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -89,13 +90,21 @@
 	g->changed[topic] = MAX(g->changed[topic], changed);
 }
 
+static bool is_cluster_key(const struct gwy *g, const char *key)
+{
+	size_t len = strlen(g->settings->cluster_key);
+
+	return key && strlen(key) == len &&
+	       CRYPTO_memcmp(key, g->settings->cluster_key, len) == 0;
+}
+
 /* Answers another node: what it has older than this node's. */
 void pst_serve(struct gwy *g, struct hs_req *req)
 {
 	const char *key = hs_header(req, KEY_HEADER);
 	struct json_object *o;
 
-	if (g_strcmp0(key, g->settings->cluster_key) != 0) {
+	if (!is_cluster_key(g, key)) {
 		hs_reply_json(req, 403, "{\"error\":\"wrong key\"}");
 		return;
 	}
