--- /dev/null
+++ b/bench/route-slopes.c
@@ -0,0 +1,206 @@
+/*
+ * Slopes of configured routes for docs/CAPACITY.md: choosing a server, taking
+ * what other nodes tell, judging a roll-out, matching a route.
+ */
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+#include <glib.h>
+#include <json-c/json.h>
+
+#include "exchange/loads.h"
+#include "exchange/routes.h"
+#include "exchange/servers.h"
+#include "rollout/shift.h"
+
+#define POINTS 5
+#define KEY "a-key-of-the-cluster"
+
+static double cpu_us(void)
+{
+	struct timespec t;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
+	return (double)t.tv_sec * 1e6 + (double)t.tv_nsec / 1e3;
+}
+
+static void print_fit(const char *what, const double *x, const double *y,
+		      double at)
+{
+	double sx = 0, sy = 0, sxx = 0, sxy = 0, b, a;
+
+	printf("%s:", what);
+	for (int i = 0; i < POINTS; i++) {
+		sx += x[i];
+		sy += y[i];
+		sxx += x[i] * x[i];
+		sxy += x[i] * y[i];
+		printf(" %g:%.4g", x[i], y[i]);
+	}
+	b = (POINTS * sxy - sx * sy) / (POINTS * sxx - sx * sx);
+	a = (sy - b * sx) / POINTS;
+	printf("\n    line %.4g + %.4g x; at %g: %.4g\n", a, b, at, a + b * at);
+}
+
+static void fill(struct svt *t, int servers)
+{
+	svt_init(t);
+	for (int i = 0; i < servers; i++) {
+		g_autofree char *id = g_strdup_printf("i-%d", i);
+		const struct svt_entry e = {
+			.id = id,
+			.service = "engines",
+			.address = "10.0.0.1:1",
+			.zone = i % 3 ? "a" : "b",
+			.version = "v1",
+			.slots = 64,
+		};
+
+		svt_put(t, 0, &e);
+	}
+}
+
+static void picking(void)
+{
+	const double sizes[POINTS] = {20, 100, 400, 1600, 3200};
+	double us[POINTS];
+	struct rng rng;
+
+	rng_seed(&rng, 1);
+	for (int p = 0; p < POINTS; p++) {
+		struct svt t;
+		struct svt_wish w = {.service = "engines",
+				     .zone = "a",
+				     .weight = 1,
+				     .affinity = 1,
+				     .shared_tokens = 500,
+				     .input_tokens = 2000};
+		int rounds = 200000 / (int)sizes[p];
+		double start;
+
+		fill(&t, (int)sizes[p]);
+		start = cpu_us();
+		for (int i = 0; i < rounds; i++) {
+			w.affinity = rng_next(&rng);
+			svt_pick(&t, 1, &w, &rng);
+		}
+		us[p] = (cpu_us() - start) / rounds;
+		svt_clear(&t);
+	}
+	print_fit("choosing a server for a model request (us) by servers",
+		  sizes, us, 3200);
+}
+
+static void loads(void)
+{
+	const double nodes[POINTS] = {7, 30, 100, 200, 400};
+	double us[POINTS];
+	struct svt t;
+	struct wfl_loads told;
+	uint8_t bytes[WIR_MAX_BYTES];
+
+	fill(&t, 90);
+	for (guint i = 0; i < 40; i++)
+		svt_on_start(t.all->pdata[i]);
+	lds_fill(&t, "node", &told);
+	printf("a node's word of its loads on %u servers: %zu bytes\n", told.n,
+	       wfl_put_loads(&told, KEY, bytes, sizeof(bytes)));
+	for (int p = 0; p < POINTS; p++) {
+		struct lds l;
+		double start;
+
+		lds_init(&l);
+		for (int n = 0; n < (int)nodes[p]; n++) {
+			snprintf(told.node, sizeof(told.node), "node-%d", n);
+			lds_take(&l, 1, &told);
+		}
+		start = cpu_us();
+		for (int i = 0; i < 20; i++)
+			lds_apply(&l, 1, &t);
+		us[p] = (cpu_us() - start) / 20;
+		lds_clear(&l);
+	}
+	print_fit(
+		"adding up other nodes' loads, 90 servers (us a tick) by nodes",
+		nodes, us, 400);
+	svt_clear(&t);
+}
+
+static void judging(void)
+{
+	const double nodes[POINTS] = {7, 30, 100, 200, 400};
+	const struct sft_params params = {0.15, 30};
+	double us[POINTS];
+
+	for (int p = 0; p < POINTS; p++) {
+		struct sft *s = sft_new("s", "v2", 24000, 5000, 0);
+		struct sft_report r = {.evidence = {.n_cells = 3}};
+		double start;
+
+		for (int n = 0; n < (int)nodes[p]; n++) {
+			snprintf(r.node, sizeof(r.node), "node-%d", n);
+			sft_on_report(s, 1, &r);
+		}
+		start = cpu_us();
+		for (int i = 0; i < 50; i++) {
+			sft_check(s, 100);
+			sft_judge(s, 100, &params, 3);
+		}
+		us[p] = (cpu_us() - start) / 50;
+		sft_free(s);
+	}
+	print_fit("judging a roll-out (us a tick) by nodes", nodes, us, 400);
+}
+
+static struct json_object *document(int routes)
+{
+	g_autoptr(GString) text =
+		g_string_new("{\"services\":[{\"name\":\"s\"}],"
+			     "\"routes\":[");
+	struct json_object *doc;
+
+	for (int i = 0; i < routes; i++)
+		g_string_append_printf(
+			text,
+			"%s{\"name\":\"r%d\",\"host\":\"h%d.example\","
+			"\"path\":\"/p%d/\",\"kind\":\"idempotent\","
+			"\"services\":[{\"service\":\"s\"}]}",
+			i ? "," : "", i, i % 4, i);
+	g_string_append(text, "]}");
+	doc = json_tokener_parse(text->str);
+	return doc;
+}
+
+static void routes(void)
+{
+	const double sizes[POINTS] = {8, 50, 200, 800, 2000};
+	double build[POINTS], match[POINTS];
+
+	for (int p = 0; p < POINTS; p++) {
+		struct json_object *doc = document((int)sizes[p]);
+		double start = cpu_us();
+		struct rts *r = rts_build(doc, 1, NULL);
+
+		build[p] = cpu_us() - start;
+		start = cpu_us();
+		for (int i = 0; i < 2000; i++)
+			rts_match(r, "h1.example", "/p1/x");
+		match[p] = (cpu_us() - start) / 2000;
+		rts_unref(r);
+		json_object_put(doc);
+	}
+	print_fit("building the table of routes (us) by routes", sizes, build,
+		  2000);
+	print_fit("matching a route, the worst one (us) by routes", sizes,
+		  match, 2000);
+}
+
+int main(void)
+{
+	picking();
+	loads();
+	judging();
+	routes();
+	return 0;
+}
--- a/bench/slopes.sh
+++ b/bench/slopes.sh
@@ -6,6 +6,7 @@
 BASE=30000
 . t/lib.sh
 "$BUILD/bench/slopes" || fail slopes
+"$BUILD/bench/route-slopes" || fail route-slopes
 
 cpu_ticks() { awk '{print $14 + $15}' "/proc/${PIDS[node1]}/stat"; }
 rss_kb() { awk '/VmRSS/ {print $2}' "/proc/${PIDS[node1]}/status"; }
