--- a/Makefile
+++ b/Makefile
@@ -126,7 +126,8 @@
 	@BUILD=$(BUILD) t/soak.sh $(SEED) $(SECONDS)
 
 # Fuzzes all that reads bytes from outside; needs clang's runtime library.
-FUZZ_SRC = t/fuzz/parsers.c $(PURE_SRC) daemon/settings.c http/address.c
+FUZZ_SRC = t/fuzz/parsers.c $(PURE_SRC) daemon/settings.c http/address.c \
+	http/message.c platform/translate.c
 fuzz:
 	@t/install-deps.sh clang libclang-rt-14-dev
 	@mkdir -p $(BUILD)/fuzz
--- a/t/fuzz/parsers.c
+++ b/t/fuzz/parsers.c
@@ -10,11 +10,18 @@
 #include "config/config.h"
 #include "config/generate.h"
 #include "config/sections.h"
+#include "exchange/events.h"
+#include "exchange/prompt.h"
+#include "exchange/routes.h"
+#include "http/message.h"
+#include "json-check.h"
+#include "platform/translate.h"
 #include "daemon/settings.h"
 #include "order/record.h"
 #include "rollout/evidence.h"
 #include "session/session.h"
 #include "wire/codec.h"
+#include "wire/fleet-codec.h"
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
@@ -49,6 +56,68 @@
 	wir_decode(buf, len + WIR_MAC_BYTES, "key", &msg);
 }
 
+static void read_fleet_message(const uint8_t *data, size_t len)
+{
+	uint8_t buf[WIR_MAX_BYTES];
+	struct wfl_report report;
+	struct wfl_plan plan;
+	struct wfl_sessions sessions;
+	struct wfl_loads loads;
+	struct wfl_source source;
+
+	if (len > sizeof(buf) - WIR_MAC_BYTES)
+		return;
+	memcpy(buf, data, len);
+	wir_seal(buf, len, "key");
+	len += WIR_MAC_BYTES;
+	wfl_kind_of(buf, len);
+	wfl_get_report(buf, len, "key", &report);
+	wfl_get_plan(buf, len, "key", &plan);
+	wfl_get_sessions(buf, len, "key", &sessions);
+	wfl_get_loads(buf, len, "key", &loads);
+	wfl_get_source(buf, len, "key", &source);
+}
+
+static void read_events(const char *text, size_t len)
+{
+	struct evs e;
+
+	evs_init(&e);
+	for (size_t at = 0; at < len; at += 7)
+		if (evs_take(&e, text + at, MIN(7, len - at), drop, NULL) !=
+		    EVS_OK)
+			break;
+	evs_clear(&e);
+}
+
+/* The platform's objects, and the table of routes that they make. */
+static void read_objects(const char *text)
+{
+	struct json_object *o = json_tokener_parse(text);
+	struct json_object *doc = pft_config(o, NULL);
+	struct svt_entry entry;
+	struct fed_rollout order;
+
+	if (doc)
+		rts_unref(rts_build(doc, 1, NULL));
+	rts_unref(rts_build(o, 1, NULL));
+	if (json_object_is_type(o, json_type_object)) {
+		pft_server(o, &entry);
+		pft_rollout(o, &order);
+	}
+	json_object_put(doc);
+	json_object_put(o);
+}
+
+static void read_head(const char *text, size_t len)
+{
+	struct prm prompt;
+	size_t end = 0;
+
+	htm_scan_head(text, len, 0, &end);
+	prm_parse(&prompt, text, text);
+}
+
 static void read_config(const char *text)
 {
 	struct json_object *doc = cfg_check("fuzz", text, NULL);
@@ -68,7 +137,7 @@
 	if (!size)
 		return 0;
 	text = g_strndup((const char *)data + 1, size - 1);
-	switch (data[0] % 9) {
+	switch (data[0] % 13) {
 	case 0:
 		set_free(set_parse("fuzz", text, NULL));
 		break;
@@ -94,6 +163,18 @@
 	case 7:
 		evd_free(evd_parse(text, strlen(text)));
 		break;
+	case 8:
+		read_fleet_message(data + 1, size - 1);
+		break;
+	case 9:
+		read_events((const char *)data + 1, size - 1);
+		break;
+	case 10:
+		read_objects(text);
+		break;
+	case 11:
+		read_head(text, strlen(text));
+		break;
 	default:
 		ses_open(text, "key", "org", &pin);
 		break;
