--- a/fleet/fleet-task.c
+++ b/fleet/fleet-task.c
@@ -452,6 +452,18 @@
 	return ntohl(from->sin_addr.s_addr);
 }
 
+/*
+ * Returns the latest change that this node knows of or that its source has told
+ * all up to: what was changed and then removed is in no list. Configurations
+ * have numbers of their own and are never removed.
+ */
+static uint64_t known_up_to(const struct gwy *g, enum fed_topic topic)
+{
+	if (topic == FED_CONFIG)
+		return g->changed[topic];
+	return MAX(g->changed[topic], g->as_of[topic]);
+}
+
 /*
  * Another node knows of a change that this one's source has not told. If that
  * lasts, the source is deaf: asks the other node and reads anew.
@@ -462,22 +474,21 @@
 	uint64_t now = gwy_now(g);
 
 	for (int i = 0; i < FED_TOPICS; i++) {
-		if (changed[i] <= g->changed[i])
+		if (changed[i] <= known_up_to(g, (enum fed_topic)i)) {
+			t->behind_since[i] = 0;
 			continue;
+		}
 		if (!t->behind_since[i])
 			t->behind_since[i] = now;
 		else if (now - t->behind_since[i] > BEHIND_MS)
 			pst_on_newer(g->state, now, ip, (enum fed_topic)i);
 	}
-	for (int i = 0; i < FED_TOPICS; i++)
-		if (changed[i] == g->changed[i])
-			t->behind_since[i] = 0;
 }
 
 static bool knows_as_much(const struct gwy *g, const uint64_t *changed)
 {
 	for (int i = 0; i < FED_TOPICS; i++)
-		if (g->changed[i] < changed[i])
+		if (known_up_to(g, (enum fed_topic)i) < changed[i])
 			return false;
 	return true;
 }
--- a/t/t0012-fleet.sh
+++ b/t/t0012-fleet.sh
@@ -78,12 +78,26 @@
 start_backend 6 desk v3
 curl -fs -o /dev/null "http://$(backend 6)/control/fail"
 put rollouts/desk '{"spec":{"service":"desk","target":"v3","over_s":16}}'
-load 12 ok
-expect "state" reverted "$(status)"
+load 15 ok
+is_reverted() { [ "$(status)" = reverted ]; }
+until_true 3 is_reverted || fail "the roll-out is $(status)"
 bad=$(curl -fs "http://$(backend 6)/ran" | wc -l)
 [ "$bad" -gt 0 ] && [ "$bad" -lt 60 ] || fail "the bad version got $bad requests"
 expect "read" 200 "$(send 1 GET /read/ok)"
 
+say "a node that starts after the newest entry was removed does not ask for it again and again"
+enter 6 desk v3 ready
+sleep 0.5
+take_away servers/i-6
+crash route2
+start_route_node 2
+route_ready 2
+sleep 1
+calls() { curl -fs "http://$STORE/calls"; }
+before=$(calls)
+sleep 6
+[ $(($(calls) - before)) -le 6 ] || fail "$(($(calls) - before)) store calls in six calm seconds"
+
 say "all nodes killed at once come back with the newest configuration"
 configure 9
 for n in 1 2 3; do crash "route$n"; done
