exchange, http: drop what nobody calls, weigh streams in one place

Cause: read over once more: five functions and a field that no caller was left for (hc_was_sent, hs_close_after, hst_quantile, svt_has_room, reported_waiting); the bound on heavy streams stood in two files, and the attempt loop took a server's load back by hand. Change: they are gone; svt_on_pace knows the bound, svt_off_work takes the load back. Behaviour stays as it is.

--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -15,7 +15,6 @@
 #define KEPT_IDLE_MS 3000
 #define KEPT_IDLE_ONCE_MS 400
 #define MIN_LEFT_MS 5
-#define HEAVY_WEIGHT 0.5 /* from it on a stream tells a server's pace */
 
 static void attempt(struct exc *x);
 
@@ -218,12 +217,9 @@
 	enum svt_outcome outcome = outcome_of(x, end);
 
 	add_evidence(x);
-	svt_on_read(x->server, &x->work);
-	x->server->decode = MAX(x->server->decode - x->work.weight, 0);
-	if (x->answer.result == RTY_GOOD && x->attempt_events > 4 &&
-	    x->work.weight >= HEAVY_WEIGHT)
-		svt_on_pace(&x->g->servers, x->server,
-			    event_ms(x) / x->work.weight);
+	if (x->answer.result == RTY_GOOD && x->attempt_events > 4)
+		svt_on_pace(&x->g->servers, x->server, &x->work, event_ms(x));
+	svt_off_work(x->server, &x->work);
 	if (x->route->kind == RTS_STREAMING)
 		sht_note_session(x->g->shifts, gwy_now(x->g), x->service,
 				 x->session, x->server->version);
--- a/exchange/servers.c
+++ b/exchange/servers.c
@@ -479,9 +479,23 @@
 	return MIN(n, BROKEN_MOST);
 }
 
-/* Takes the mean time between events of a stream, per unit of weight. */
-void svt_on_pace(struct svt *t, struct svt_server *s, double event_ms)
+/* The request has ended. */
+void svt_off_work(struct svt_server *s, struct svt_work *work)
 {
+	svt_on_read(s, work);
+	s->decode = MAX(s->decode - work->weight, 0);
+}
+
+/*
+ * Takes the mean time between events of a stream. Only heavy streams tell a
+ * server's pace.
+ */
+void svt_on_pace(struct svt *t, struct svt_server *s,
+		 const struct svt_work *work, double event_ms)
+{
+	if (work->weight < HEAVY_WEIGHT)
+		return;
+	event_ms /= work->weight;
 	if (s->event_ms <= 0)
 		s->event_ms = event_ms;
 	if (t->usual_event_ms <= 0)
@@ -501,7 +515,6 @@
 		 uint32_t waiting, uint32_t slots)
 {
 	s->reported = running + waiting;
-	s->reported_waiting = waiting;
 	s->reported_in_flight = s->in_flight;
 	s->reported_at = now;
 	if (slots)
@@ -576,16 +589,3 @@
 	}
 	return n;
 }
-
-/* Tells whether some server of a service has a free slot. */
-bool svt_has_room(const struct svt *t, uint64_t now, const char *service)
-{
-	for (guint i = 0; i < t->all->len; i++) {
-		const struct svt_server *s = t->all->pdata[i];
-
-		if (s->state == SVT_READY && !strcmp(s->service, service) &&
-		    svt_load(s, now) < MAX(s->slots, 1))
-			return true;
-	}
-	return false;
-}
--- a/exchange/servers.h
+++ b/exchange/servers.h
@@ -56,7 +56,6 @@
 	double event_ms; /* mean time between events, per unit of weight */
 	uint32_t reported; /* running and waiting, by its own answers */
 	uint32_t reported_in_flight; /* of this node, at that moment */
-	uint32_t reported_waiting;
 	uint64_t reported_at;
 	double slowness; /* its times relative to those of all; 1: as all */
 	double failure; /* recent share of failed calls */
@@ -145,7 +144,9 @@
 void svt_on_read(struct svt_server *s, struct svt_work *work);
 void svt_on_broken(struct svt_server *s, uint64_t now);
 uint32_t svt_take_broken(struct svt_server *s, uint64_t began_at);
-void svt_on_pace(struct svt *t, struct svt_server *s, double event_ms);
+void svt_off_work(struct svt_server *s, struct svt_work *work);
+void svt_on_pace(struct svt *t, struct svt_server *s,
+		 const struct svt_work *work, double event_ms);
 void svt_on_start(struct svt_server *s);
 void svt_on_load(struct svt_server *s, uint64_t now, uint32_t running,
 		 uint32_t waiting, uint32_t slots);
@@ -153,7 +154,6 @@
 		enum svt_outcome outcome, double head_ms);
 uint32_t svt_count_ready(const struct svt *t, const char *service,
 			 const char *version);
-bool svt_has_room(const struct svt *t, uint64_t now, const char *service);
 const char *svt_state_name(enum svt_state state);
 
 #endif
--- a/histogram.c
+++ b/histogram.c
@@ -21,19 +21,6 @@
 	h->sum += ms;
 }
 
-/* Returns the upper bound of the bucket that holds the quantile, 0 if empty. */
-double hst_quantile(const struct hst *h, double q)
-{
-	uint64_t seen = 0;
-
-	for (int i = 0; i < HST_BUCKETS; i++) {
-		seen += h->count[i];
-		if (h->total && (double)seen >= q * (double)h->total)
-			return bounds[i];
-	}
-	return h->total ? 2 * bounds[HST_BUCKETS - 1] : 0;
-}
-
 /* Appends the histogram; `label` is such as `kind="streaming"`. */
 void hst_text(const struct hst *h, const char *name, const char *label,
 	      GString *out)
--- a/histogram.h
+++ b/histogram.h
@@ -14,7 +14,6 @@
 };
 
 void hst_add(struct hst *h, double ms);
-double hst_quantile(const struct hst *h, double q);
 void hst_text(const struct hst *h, const char *name, const char *label,
 	      GString *out);
 
--- a/http/client.c
+++ b/http/client.c
@@ -109,12 +109,6 @@
 	call->progress_ms = progress_ms;
 }
 
-/* Tells whether a byte of the request may have left. */
-bool hc_was_sent(const struct hc_call *call)
-{
-	return call->sent;
-}
-
 static struct pool *pool_of(struct hc *hc, const char *name)
 {
 	struct pool *p = g_hash_table_lookup(hc->pools, name);
--- a/http/client.h
+++ b/http/client.h
@@ -69,7 +69,6 @@
 			 const struct hc_events *events, void *user);
 void hc_cancel(struct hc_call *call);
 void hc_set_progress(struct hc_call *call, uint32_t progress_ms);
-bool hc_was_sent(const struct hc_call *call);
 void hc_forget(struct hc *hc, const char *pool);
 uint32_t hc_open(const struct hc *hc, const char *pool);
 uint64_t hc_connects(const struct hc *hc);
--- a/http/server.c
+++ b/http/server.c
@@ -832,12 +832,6 @@
 	flush(req->conn);
 }
 
-/* Closes the connection after this request's response. */
-void hs_close_after(struct hs_req *req)
-{
-	req->keep_alive = false;
-}
-
 /*
  * The response gets no length: it ends with its connection, so that the client
  * knows as little of its end as we do.
--- a/http/server.h
+++ b/http/server.h
@@ -46,7 +46,6 @@
 void hs_write(struct hs_req *req, const void *data, size_t len);
 void hs_end(struct hs_req *req);
 void hs_abort(struct hs_req *req);
-void hs_close_after(struct hs_req *req);
 void hs_leave_unframed(struct hs_req *req);
 size_t hs_unsent(const struct hs_req *req);
 void hs_reply(struct hs_req *req, int status, const char *type,
