rollout: load new servers in a trial, compare times at equal load

Change: model requests of a trial go to one new server after the other as long as it has no more work than the old ones on average; times are compared with a regression of the old version's on the load, slow from twice that, plain ones from three times; after 40 compared answers the trial fills servers to three quarters and counts errors only. The plan tells all nodes.

--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -195,8 +195,11 @@
 static void add_evidence(struct exc *x)
 {
 	struct sft *shift = sht_find(x->g->shifts, x->service);
-	uint64_t route = XXH3_64bits(x->route->name, strlen(x->route->name));
-	double first = x->head_ms;
+	struct sft_answer a = {
+		.route = XXH3_64bits(x->route->name, strlen(x->route->name)),
+		.failed = true,
+		.fills = x->fills,
+	};
 
 	if (!shift || !x->sent_by_shift)
 		return;
@@ -205,11 +208,14 @@
 	if (x->answer.result != RTY_GOOD)
 		return;
 	for (uint32_t n = svt_take_broken(x->server, x->attempt_at); n; n--)
-		sft_on_answer(shift, x->version, route, true, 0, 0);
+		sft_on_answer(shift, x->version, &a);
+	a.failed = x->answer.status >= 500;
+	a.first_ms = x->head_ms;
 	if (x->attempt_events)
-		first = (double)(x->first_event_at - x->attempt_at) + 0.5;
-	sft_on_answer(shift, x->version, route, x->answer.status >= 500, first,
-		      event_ms(x));
+		a.first_ms = (double)(x->first_event_at - x->attempt_at) + 0.5;
+	a.event_ms = event_ms(x);
+	a.load = (x->begin_load + svt_load(x->server, gwy_now(x->g))) / 2;
+	sft_on_answer(shift, x->version, &a);
 }
 
 static void settle_server(struct exc *x, enum hc_end end)
@@ -509,6 +515,7 @@
 	x->attempt_events = 0;
 	svt_on_start(x->server);
 	svt_on_work(x->server, &x->work);
+	x->begin_load = svt_load(x->server, now);
 	x->server_version = g_intern_string(x->server->version);
 	if (x->sent_by_shift && sht_find(x->g->shifts, x->service))
 		sft_on_sent(sht_find(x->g->shifts, x->service), x->version);
--- a/exchange/exchange.h
+++ b/exchange/exchange.h
@@ -41,6 +41,8 @@
 	double head_ms;
 	bool sent_by_shift; /* a roll-out of the service runs */
 	enum sft_version version; /* with sent_by_shift */
+	bool fills; /* the server is being filled by a roll-out */
+	double begin_load; /* of the attempt's server at its start */
 	uint64_t attempt_events;
 	uint64_t first_event_at;
 	uint64_t last_event_at;
--- a/exchange/place-task.c
+++ b/exchange/place-task.c
@@ -38,12 +38,29 @@
 	return was == sht_version_hash(s->target) ? SFT_SEEN_NEW : SFT_SEEN_OLD;
 }
 
+/*
+ * A trial loads few new servers as much as the old ones are, in turns, so that
+ * times compare; later a few as far as they go, to see errors under load.
+ */
+static void load_new(struct exc *x, const struct sft *s, uint64_t now,
+		     struct svt_wish *wish)
+{
+	x->fills = sft_fills(s);
+	if (x->fills) {
+		wish->fill = SFT_FILL;
+		return;
+	}
+	wish->fill_ms = svt_mean_work(&x->g->servers, wish->service, s->target);
+	wish->fill_order = sft_age(s, now) / SFT_TURN_MS + 1;
+}
+
 /* Chooses between old and new servers while a roll-out is known. */
 static void choose_version(struct exc *x, uint64_t now, struct svt_wish *wish)
 {
 	const struct sft *s = sht_find(x->g->shifts, x->service);
 	uint64_t hash = x->session ? x->session : rng_next(&x->g->rng);
 
+	x->fills = false;
 	if (!s)
 		return;
 	if (!x->sent_by_shift || s->plan.state != SFT_TRIAL)
@@ -51,6 +68,8 @@
 	x->sent_by_shift = true;
 	wish->version = s->target;
 	wish->versions = x->version == SFT_NEW ? SVT_ONLY : SVT_NOT;
+	if (x->version == SFT_NEW && sft_is_trial(s) && wish->weight > 0)
+		load_new(x, s, now, wish);
 }
 
 /*
@@ -140,6 +159,7 @@
 	if (!s && wish.versions != SVT_ANY_VERSION && may_use_other(x)) {
 		x->version = x->version == SFT_NEW ? SFT_OLD : SFT_NEW;
 		wish.versions = x->version == SFT_NEW ? SVT_ONLY : SVT_NOT;
+		wish.fill = 0;
 		s = svt_pick(&x->g->servers, now, &wish, &x->g->rng);
 	}
 	if (s)
--- a/exchange/servers.c
+++ b/exchange/servers.c
@@ -216,6 +216,32 @@
 	return s->in_flight + others;
 }
 
+/* The work of all nodes that waits or runs at a server, in ms. */
+static double work_ms(const struct svt_server *s)
+{
+	return (s->prefill + s->others_prefill) * READ_MS_PER_TOKEN +
+	       (s->decode + s->others_decode) * DECODE_MS;
+}
+
+/* Returns the mean of it over a service's ready servers but for a version. */
+double svt_mean_work(const struct svt *t, const char *service,
+		     const char *but_version)
+{
+	double sum = 0;
+	uint32_t n = 0;
+
+	for (guint i = 0; i < t->all->len; i++) {
+		const struct svt_server *s = t->all->pdata[i];
+
+		if (s->state != SVT_READY || strcmp(s->service, service) != 0 ||
+		    !g_strcmp0(s->version, but_version))
+			continue;
+		sum += work_ms(s);
+		n++;
+	}
+	return n ? sum / n : 0;
+}
+
 static bool was_tried(const struct svt_wish *w, const struct svt_server *s)
 {
 	for (uint32_t i = 0; i < w->n_tried; i++)
@@ -332,10 +358,7 @@
 			     uint64_t now, const struct svt_wish *w,
 			     bool at_home)
 {
-	double ms =
-		(s->prefill + s->others_prefill + tokens_to_read(w, at_home)) *
-			READ_MS_PER_TOKEN +
-		(s->decode + s->others_decode) * DECODE_MS;
+	double ms = work_ms(s) + tokens_to_read(w, at_home) * READ_MS_PER_TOKEN;
 
 	ms *= pace_of(t, s) * (1 + FAILURE_FACTOR * s->failure);
 	if (s->cold_until > now)
@@ -427,6 +450,36 @@
 			  (CLAMP(ratio, RATIO_MIN, RATIO_MAX) - t->delay_ratio);
 }
 
+static bool is_filled(const struct svt_server *s, uint64_t now,
+		      const struct svt_wish *w)
+{
+	if (w->fill > 0)
+		return svt_load(s, now) + 1 > w->fill * s->slots;
+	return work_ms(s) > w->fill_ms;
+}
+
+/* The first server in an order common to all nodes that is not full, or NULL. */
+static struct svt_server *first_unfilled(const struct svt *t, uint64_t now,
+					 const struct svt_wish *w)
+{
+	struct svt_server *first = NULL;
+	uint64_t best = 0;
+
+	for (guint i = 0; i < t->all->len; i++) {
+		struct svt_server *s = t->all->pdata[i];
+		uint64_t rank;
+
+		if (!is_candidate(s, now, w, false) || is_filled(s, now, w))
+			continue;
+		rank = rank_of(s, w->fill_order);
+		if (!first || rank > best) {
+			first = s;
+			best = rank;
+		}
+	}
+	return first;
+}
+
 /*
  * Chooses a server that is ready and was not tried yet, or returns NULL.
  * Ejected ones are used only if there is no other.
@@ -436,7 +489,9 @@
 {
 	struct svt_server *s = NULL;
 
-	if (w->weight > 0)
+	if (w->fill > 0 || w->fill_ms > 0)
+		s = first_unfilled(t, now, w);
+	if (!s && w->weight > 0)
 		s = least_delay(t, now, w);
 	if (!s)
 		s = least_loaded(t, now, w, false, rng);
--- a/exchange/servers.h
+++ b/exchange/servers.h
@@ -102,6 +102,9 @@
 	uint32_t shared_tokens; /* of the prompt up to it */
 	uint32_t input_tokens; /* of the whole prompt */
 	double weight; /* of the model, 0 to 1; 0: no model request */
+	double fill; /* fill servers one by one to this share of their slots */
+	double fill_ms; /* the same to this much work that waits, in ms */
+	uint64_t fill_order; /* changes which is filled first */
 	uint32_t most_in_flight; /* of this node at one server; 0: any */
 	uint64_t tried[SVT_MAX_TRIED]; /* hashes of their ids */
 	uint32_t n_tried;
@@ -109,6 +112,8 @@
 
 void svt_init(struct svt *t);
 void svt_clear(struct svt *t);
+double svt_mean_work(const struct svt *t, const char *service,
+		     const char *but_version);
 struct svt_server *svt_find(const struct svt *t, const char *id);
 struct svt_server *svt_put(struct svt *t, uint64_t now,
 			   const struct svt_entry *entry);
--- a/rollout/shift.c
+++ b/rollout/shift.c
@@ -10,14 +10,17 @@
 #define LAST_SHORT_MS 700 /* the same after a short move */
 #define WHOLE_LEAST_MS 1000
 #define WHOLE_SHORT_MS 300
+#define FILL_AFTER 40 /* answers whose times were compared */
 #define EXPOSED_PART 0.9
 #define LEAST_BAD 0.03
 #define MARGIN 0.15
 #define STOP_AT 5.0
 #define PACE_WEIGHT 0.05
 #define PACE_LEAST 8
-#define SLOW_EVENT 2.5
+#define LEAST_PACE 0.3
+#define SLOW_EVENT 2.0
 #define SLOW_FIRST 6.0
+#define SLOW_PLAIN 3.0
 
 static const char *const state_names[] = {"trial", "rolled-back", "completed"};
 
@@ -100,48 +103,70 @@
 	return &s->pace[s->n_pace++];
 }
 
-static void learn_pace(struct sft_pace *p, double first_ms, double event_ms)
+static void learn_pace(struct sft_pace *p, const struct sft_answer *a)
 {
-	double w = MAX(PACE_WEIGHT, 1.0 / (p->n + 1));
+	double w, off, off_ms;
 
-	p->first_ms += w * (first_ms - p->first_ms);
-	if (event_ms > 0)
-		p->event_ms += w * (event_ms - p->event_ms);
 	p->n++;
+	w = MAX(PACE_WEIGHT, 1.0 / p->n);
+	p->first_ms += w * (a->first_ms - p->first_ms);
+	if (a->event_ms <= 0)
+		return;
+	p->n_events++;
+	w = MAX(PACE_WEIGHT, 1.0 / p->n_events);
+	off = a->load - p->load;
+	off_ms = a->event_ms - p->event_ms;
+	p->load += w * off;
+	p->event_ms += w * off_ms;
+	p->load_spread = (1 - w) * (p->load_spread + w * off * off);
+	p->load_event_ms = (1 - w) * (p->load_event_ms + w * off * off_ms);
+}
+
+/* The old version's usual time between events at a server with that load. */
+static double usual_event_ms(const struct sft_pace *p, double load)
+{
+	double slope = p->load_spread > 0
+			       ? MAX(p->load_event_ms / p->load_spread, 0)
+			       : 0;
+
+	return MAX(p->event_ms + slope * (load - p->load),
+		   LEAST_PACE * p->event_ms);
 }
 
-static bool is_slow(const struct sft_pace *p, double first_ms, double event_ms)
+static bool is_slow(const struct sft_pace *p, const struct sft_answer *a)
 {
 	if (p->n < PACE_LEAST)
 		return false;
-	if (event_ms > 0 && p->event_ms > 0 &&
-	    event_ms > SLOW_EVENT * p->event_ms)
+	if (a->event_ms > 0 && p->n_events >= PACE_LEAST &&
+	    a->event_ms > SLOW_EVENT * usual_event_ms(p, a->load))
 		return true;
-	return first_ms > SLOW_FIRST * p->first_ms;
+	return a->first_ms >
+	       (p->n_events ? SLOW_FIRST : SLOW_PLAIN) * p->first_ms;
 }
 
 /*
- * An answer came from a server of that version; event_ms is the mean time
- * between its events, 0 if it had none. Returns whether it counts as slow.
+ * An answer came from a server of that version. Returns whether it counts as
+ * slow: against what the old version takes on a server with that load, since
+ * the new servers have less to do.
  */
-bool sft_on_answer(struct sft *s, enum sft_version version, uint64_t route,
-		   bool failed, double first_ms, double event_ms)
+bool sft_on_answer(struct sft *s, enum sft_version version,
+		   const struct sft_answer *a)
 {
-	struct sft_cell *c = cell_of(&s->own, route);
-	struct sft_pace *p = pace_of(s, route);
+	struct sft_cell *c = cell_of(&s->own, a->route);
+	struct sft_pace *p = pace_of(s, a->route);
 	uint32_t *errors = counts_of(c, version, SFT_ERROR);
 	uint32_t *slow = counts_of(c, version, SFT_SLOW);
 	bool late;
 
 	errors[0]++;
-	errors[1] += failed;
-	if (failed || !p)
+	errors[1] += a->failed;
+	if (a->failed || !p || a->fills)
 		return false;
-	late = is_slow(p, first_ms, event_ms);
+	late = is_slow(p, a);
 	slow[0]++;
 	slow[1] += late;
 	if (version == SFT_OLD)
-		learn_pace(p, first_ms, event_ms);
+		learn_pace(p, a);
 	return late;
 }
 
@@ -336,6 +361,20 @@
 	return MIN(TRIAL_MOST, TRIAL_PART * p->expose_share);
 }
 
+/*
+ * A version that fails under load only is to show it while it has few requests.
+ * The times of a filled server are not comparable to those of the old ones, so
+ * a slow version must have had the time to show itself.
+ */
+static bool may_fill(struct sft_evidence *e)
+{
+	uint32_t compared = 0;
+
+	for (uint32_t i = 0; i < e->n_cells; i++)
+		compared += counts_of(&e->cells[i], SFT_NEW, SFT_SLOW)[0];
+	return compared >= FILL_AFTER;
+}
+
 /*
  * The old servers stop at once when the order is completed: what runs there
  * gets time to end, as far as there is some.
@@ -370,12 +409,25 @@
 	if (!ready_new)
 		wanted = plan.share;
 	plan.share = MAX(plan.share, wanted);
+	plan.fills = plan.fills || may_fill(&sum);
 	if (may_complete(s, now, &sum) && ready_new)
 		plan.state = SFT_COMPLETED;
 	take_plan(s, now, &plan);
 	return plan;
 }
 
+/* Tells whether few requests go to the new version, to test it. */
+bool sft_is_trial(const struct sft *s)
+{
+	return s->plan.state == SFT_TRIAL && !s->whole_since;
+}
+
+/* Tells whether the trial fills new servers one by one. */
+bool sft_fills(const struct sft *s)
+{
+	return sft_is_trial(s) && s->plan.fills;
+}
+
 static bool is_drawn(uint64_t hash, uint32_t share)
 {
 	return (hash >> 16) % SFT_WHOLE < share;
--- a/rollout/shift.h
+++ b/rollout/shift.h
@@ -18,6 +18,8 @@
 #define SFT_CELL_COUNTS 8
 #define SFT_WHOLE 65536
 #define SFT_REPORT_MS 200
+#define SFT_TURN_MS 2500
+#define SFT_FILL 0.75 /* of a server's slots */
 
 enum sft_version {
 	SFT_OLD,
@@ -61,6 +63,7 @@
 	uint32_t age_ms;
 	uint32_t share; /* of SFT_WHOLE */
 	enum sft_state state;
+	bool fills; /* the trial fills new servers one by one */
 };
 
 struct sft_params {
@@ -75,12 +78,26 @@
 	SFT_SEEN_NEW,
 };
 
-/* Usual times of the old version on one route. */
+/* How an attempt at a server went. */
+struct sft_answer {
+	uint64_t route;
+	bool failed;
+	double first_ms;
+	double event_ms; /* mean time between its events, 0: it had none */
+	double load; /* requests at the server meanwhile */
+	bool fills; /* the server is being filled: judged by errors only */
+};
+
+/* Usual times of the old version on one route; means weigh late ones more. */
 struct sft_pace {
 	uint64_t route;
 	double first_ms;
 	double event_ms;
+	double load;
+	double load_spread; /* variance of the load */
+	double load_event_ms; /* covariance of load and event_ms */
 	uint32_t n;
+	uint32_t n_events;
 };
 
 struct sft_test {
@@ -112,8 +129,10 @@
 void sft_free(struct sft *s);
 void sft_on_request(struct sft *s);
 void sft_on_sent(struct sft *s, enum sft_version version);
-bool sft_on_answer(struct sft *s, enum sft_version version, uint64_t route,
-		   bool failed, double first_ms, double event_ms);
+bool sft_on_answer(struct sft *s, enum sft_version version,
+		   const struct sft_answer *a);
+bool sft_is_trial(const struct sft *s);
+bool sft_fills(const struct sft *s);
 void sft_on_report(struct sft *s, uint64_t now, const struct sft_report *r);
 void sft_on_plan(struct sft *s, uint64_t now, const struct sft_plan *plan);
 void sft_settle(struct sft *s, enum sft_state state);
--- a/t/unit/exchange_test.cc
+++ b/t/unit/exchange_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -460,6 +461,63 @@
 	EXPECT_STREQ(s.pick(w), "old");
 }
 
+TEST(Servers, AFilledServerGetsAllUntilItIsFull)
+{
+	Servers s;
+	for (const char *id : {"a", "b", "c"})
+		s.put(id, "z1", "v2");
+	s.put("old", "z1", "v1");
+	svt_wish w = {};
+	w.version = "v2";
+	w.versions = SVT_ONLY;
+	w.fill = 0.75;
+	const char *first = s.pick(w);
+	for (int i = 0; i < 6; i++) {
+		ASSERT_STREQ(s.pick(w), first) << i;
+		svt_on_start(svt_find(&s.t, first));
+	}
+	EXPECT_STRNE(s.pick(w), first) << "three quarters of 8 slots";
+}
+
+TEST(Servers, NewServersAreLoadedLikeTheOldOnesInTurns)
+{
+	Servers s;
+	for (const char *id : {"a", "b", "c"})
+		s.put(id, "z1", "v2");
+	const svt_work work = {0, 1, 1000};
+	svt_server *old = s.put("old", "z1", "v1");
+	svt_on_work(old, &work);
+	svt_on_work(old, &work);
+	svt_wish w = {};
+	w.weight = 1;
+	w.input_tokens = 1000;
+	w.version = "v2";
+	w.versions = SVT_ONLY;
+	w.fill_ms = svt_mean_work(&s.t, "s", "v2");
+	w.fill_order = 1;
+	EXPECT_GT(w.fill_ms, 0);
+	EXPECT_DOUBLE_EQ(svt_mean_work(&s.t, "other", "v2"), 0);
+	std::string first = s.pick(w);
+	for (int i = 0; i < 3; i++) {
+		ASSERT_EQ(s.pick(w), first) << i;
+		svt_on_work(svt_find(&s.t, first.c_str()), &work);
+	}
+	EXPECT_NE(s.pick(w), first) << "more to do than the old one";
+}
+
+TEST(Servers, WhichIsFilledFirstChangesWithTheOrder)
+{
+	Servers s;
+	for (const char *id : {"a", "b", "c"})
+		s.put(id);
+	svt_wish w = {};
+	w.fill = 0.5;
+	std::set<std::string> first;
+	for (w.fill_order = 1; w.fill_order < 20; w.fill_order++)
+		first.insert(s.pick(w));
+	EXPECT_EQ(first.size(), 3u);
+}
+
 TEST(Servers, FailingOnesAreEjectedUnlessThereIsNoOther)
 {
 	Servers s;
--- a/t/unit/shift_test.cc
+++ b/t/unit/shift_test.cc
@@ -18,6 +18,13 @@
 
 const sft_params kParams = {0.15, 30};
 
+void answer(sft *s, sft_version version, uint64_t route, bool failed,
+	    double first_ms, double event_ms, bool fills, double load = 1)
+{
+	sft_answer a = {route, failed, first_ms, event_ms, load, fills};
+	sft_on_answer(s, version, &a);
+}
+
 // A fleet whose nodes report to the first and hear its plan, as fast as the
 // real one does; requests arrive at random nodes.
 struct Fleet {
@@ -97,7 +104,7 @@
 			if (k == i || sft_tells_session(nodes[i], now, session))
 				rcs_note(&recent[k], now, session,
 					 v == SFT_NEW ? 2 : 1);
-		sft_on_answer(nodes[i], v, 1, failed, 100, 20);
+		answer(nodes[i], v, 1, failed, 100, 20, false);
 	}
 	void play(double bad_share, uint64_t bad_from = 0)
 	{
@@ -165,9 +172,9 @@
 {
 	sft *s = sft_new("s", "v2", 24000, 5000, 0);
 	for (int i = 0; i < 400; i++) {
-		sft_on_answer(s, SFT_OLD, (uint64_t)(i % 8), false, 100, 20);
-		sft_on_answer(s, SFT_NEW, (uint64_t)(i % 8),
-			      i % 8 == 3 && i % 16 < 8, 100, 20);
+		answer(s, SFT_OLD, (uint64_t)(i % 8), false, 100, 20, false);
+		answer(s, SFT_NEW, (uint64_t)(i % 8),
+			      i % 8 == 3 && i % 16 < 8, 100, 20, false);
 		if (sft_check(s, 100))
 			break;
 	}
@@ -179,9 +186,9 @@
 {
 	sft *s = sft_new("s", "v2", 24000, 5000, 0);
 	for (int i = 0; i < 50; i++)
-		sft_on_answer(s, SFT_OLD, 1, false, 100, 20);
+		answer(s, SFT_OLD, 1, false, 100, 20, false);
 	for (int i = 0; i < 30 && s->plan.state == SFT_TRIAL; i++) {
-		sft_on_answer(s, SFT_NEW, 1, false, 800, 160);
+		answer(s, SFT_NEW, 1, false, 800, 160, false);
 		sft_check(s, 100);
 	}
 	EXPECT_EQ(s->plan.state, SFT_REVERTED);
@@ -189,10 +196,80 @@
 	sft_free(s);
 }
 
+TEST(Shift, TimesAreComparedAtTheLoadOfTheServer)
+{
+	for (double factor : {1.0, 4.0}) {
+		sft *s = sft_new("s", "v2", 24000, 5000, 0);
+		for (int i = 0; i < 200; i++) {
+			int load = 4 + i * 7 % 9;
+			answer(s, SFT_OLD, 1, false, 60, 18 + 4 * load, false,
+			       load);
+		}
+		for (int i = 0; i < 30 && s->plan.state == SFT_TRIAL; i++) {
+			answer(s, SFT_NEW, 1, false, 60, factor * 22, false, 1);
+			sft_check(s, 100);
+		}
+		EXPECT_EQ(s->plan.state,
+			  factor > 1 ? SFT_REVERTED : SFT_TRIAL);
+		sft_free(s);
+	}
+}
+
+TEST(Shift, ASlowPlainAnswerIsTooLateSooner)
+{
+	sft *s = sft_new("s", "v2", 24000, 5000, 0);
+	for (int i = 0; i < 50; i++)
+		answer(s, SFT_OLD, 1, false, 20, 0, false);
+	for (int i = 0; i < 16; i++) {
+		answer(s, SFT_NEW, 1, false, i % 2 ? 80 : 20, 0, false);
+		sft_check(s, 100);
+	}
+	EXPECT_EQ(s->plan.state, SFT_REVERTED);
+	sft_free(s);
+}
+
+TEST(Shift, AFilledServersTimesAreNoEvidenceButItsErrorsAre)
+{
+	sft *s = sft_new("s", "v2", 24000, 5000, 0);
+	for (int i = 0; i < 50; i++)
+		answer(s, SFT_OLD, 1, false, 100, 20, false);
+	for (int i = 0; i < 100; i++) {
+		answer(s, SFT_NEW, 1, false, 800, 160, true);
+		ASSERT_FALSE(sft_check(s, 100)) << i;
+	}
+	for (int i = 0; i < 30; i++)
+		answer(s, SFT_NEW, 1, i % 2, 800, 160, true);
+	EXPECT_TRUE(sft_check(s, 100));
+	EXPECT_STREQ(s->why, "error");
+	sft_free(s);
+}
+
+TEST(Shift, TheTrialFillsServersOnceEnoughTimesWereCompared)
+{
+	sft *s = sft_new("s", "v2", 24000, 5000, 0);
+	sft *other = sft_new("s", "v2", 24000, 5000, 0);
+	for (int i = 0; i < 50; i++)
+		answer(s, SFT_OLD, 1, false, 100, 20, false);
+	for (int i = 0; i < 39; i++)
+		answer(s, SFT_NEW, 1, false, 100, 20, false);
+	sft_judge(s, 7000, &kParams, 3);
+	EXPECT_FALSE(sft_fills(s));
+	answer(s, SFT_NEW, 1, false, 100, 20, false);
+	sft_plan plan = sft_judge(s, 7200, &kParams, 3);
+	sft_on_plan(other, 7200, &plan);
+	EXPECT_TRUE(sft_fills(s));
+	EXPECT_TRUE(sft_fills(other));
+	plan.share = SFT_WHOLE;
+	sft_on_plan(other, 20000, &plan);
+	EXPECT_FALSE(sft_fills(other));
+	sft_free(s);
+	sft_free(other);
+}
+
 TEST(Shift, NothingBringsAReversedOneBack)
 {
 	sft *s = sft_new("s", "v2", 24000, 5000, 0);
-	sft_plan whole = {20000, SFT_WHOLE, SFT_TRIAL};
+	sft_plan whole = {20000, SFT_WHOLE, SFT_TRIAL, false};
 	sft_settle(s, SFT_REVERTED);
 	sft_on_plan(s, 100, &whole);
 	EXPECT_EQ(sft_choose(s, 23000, 0, SFT_SEEN_NEW), SFT_OLD);
@@ -204,7 +281,7 @@
 TEST(Shift, ANodeThatStartsLateLearnsTheAge)
 {
 	sft *s = sft_new("s", "v2", 24000, 5000, 50000);
-	sft_plan plan = {9000, 6000, SFT_TRIAL};
+	sft_plan plan = {9000, 6000, SFT_TRIAL, false};
 	sft_on_plan(s, 50100, &plan);
 	EXPECT_EQ(sft_age(s, 50100), 9000u);
 	EXPECT_EQ(s->plan.share, 6000u);
@@ -247,11 +324,12 @@
 	EXPECT_EQ(memcmp(&r, &r2, sizeof(r)), 0);
 
 	strcpy(p.service, "s");
-	p.plan = {5, 6, SFT_REVERTED};
+	p.plan = {5, 6, SFT_REVERTED, true};
 	n = wfl_put_plan(&p, kKey, buf, sizeof(buf));
 	ASSERT_EQ(wfl_kind_of(buf, n), WFL_PLAN);
 	ASSERT_EQ(wfl_get_plan(buf, n, kKey, &p2), WIR_OK);
 	EXPECT_EQ(p2.plan.state, SFT_REVERTED);
+	EXPECT_TRUE(p2.plan.fills);
 	EXPECT_EQ(wfl_get_plan(buf, n, "another-key-of-others", &p2),
 		  WIR_BAD_MAC);
 
--- a/wire/fleet-codec.c
+++ b/wire/fleet-codec.c
@@ -112,6 +112,7 @@
 		.age_ms = p->plan.age_ms,
 		.share = p->plan.share,
 		.state = p->plan.state,
+		.fills = p->plan.fills,
 	};
 
 	return put(PROC_PLAN, (xdrproc_t)xdr_fleet_plan, &w, key, buf, size);
@@ -168,6 +169,7 @@
 		p->plan.age_ms = w.age_ms;
 		p->plan.share = w.share;
 		p->plan.state = (enum sft_state)w.state;
+		p->plan.fills = w.fills;
 	}
 	xdr_free((xdrproc_t)xdr_fleet_plan, (char *)&w);
 	return fault;
--- a/wire/fleet-xdr.c
+++ b/wire/fleet-xdr.c
@@ -231,6 +231,57 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_string (xdrs, &objp->node, FLEET_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->service, FLEET_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->target, FLEET_NAME_MAX))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->share))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->state))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->fills))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->age_ms);
+			IXDR_PUT_U_LONG(buf, objp->share);
+			IXDR_PUT_U_LONG(buf, objp->state);
+			IXDR_PUT_BOOL(buf, objp->fills);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_string (xdrs, &objp->node, FLEET_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->service, FLEET_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->target, FLEET_NAME_MAX))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->share))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->state))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->fills))
+				 return FALSE;
+		} else {
+			objp->age_ms = IXDR_GET_U_LONG(buf);
+			objp->share = IXDR_GET_U_LONG(buf);
+			objp->state = IXDR_GET_U_LONG(buf);
+			objp->fills = IXDR_GET_BOOL(buf);
+		}
+	 return TRUE;
+	}
+
 	 if (!xdr_string (xdrs, &objp->node, FLEET_NAME_MAX))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->service, FLEET_NAME_MAX))
@@ -243,5 +294,7 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->state))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->fills))
+		 return FALSE;
 	return TRUE;
 }
--- a/wire/fleet.h
+++ b/wire/fleet.h
@@ -90,6 +90,7 @@
 	u_int age_ms;
 	u_int share;
 	u_int state;
+	bool_t fills;
 };
 typedef struct fleet_plan fleet_plan;
 
--- a/wire/fleet.x
+++ b/wire/fleet.x
@@ -65,4 +65,5 @@
 	unsigned int age_ms;
 	unsigned int share;
 	unsigned int state;
+	bool fills;
 };
