exchange: log what becomes of weak answers

Cause: an escalation, or the reason why there was none, was not in the logs; neither an on-call engineer nor a report could tell why a draft kept a weak answer.

Change: event E704 with the model's opinion, the opinion wanted, the chance of a larger one, tokens, and the choice; the choice is a value of its own.

--- a/exchange/cascade.c
+++ b/exchange/cascade.c
@@ -60,15 +60,29 @@
 }
 
 /*
- * Tells whether an answer is to be dropped for one of the largest model, by
- * its model's own opinion of it, 0 to 100, and the chance that the other one
- * comes on time. An answer without an opinion is kept.
+ * Tells what is to become of an answer, by its model's own opinion of it, 0 to
+ * 100, and the chance that one of the largest model comes on time. An answer
+ * without an opinion is good enough.
  */
-bool csc_is_weak(const struct csc *c, const struct rts_route *route,
-		 size_t model, const char *confidence, double chance)
+enum csc_choice csc_judge(const struct csc *c, const struct rts_route *route,
+			  size_t model, const char *confidence, double chance)
 {
+	double wanted = 100 * csc_target(c, route->priority);
+	double opinion;
+
 	if (!confidence || model + 1 >= route->n_models)
-		return false;
-	return g_ascii_strtod(confidence, NULL) <
-	       100 * chance * csc_target(c, route->priority);
+		return CSC_GOOD;
+	opinion = g_ascii_strtod(confidence, NULL);
+	if (opinion >= wanted)
+		return CSC_GOOD;
+	return opinion < wanted * chance ? CSC_DROP : CSC_KEEP_LATE;
+}
+
+/* Returns a choice's name for logs. */
+const char *csc_choice_name(enum csc_choice choice)
+{
+	static const char *const names[] = {"good", "drop", "keep-late",
+					    "keep-last", "keep-budget"};
+
+	return names[choice];
 }
--- a/exchange/cascade.h
+++ b/exchange/cascade.h
@@ -19,11 +19,21 @@
 	size_t n;
 };
 
+/* What becomes of an answer that has not been passed on. */
+enum csc_choice {
+	CSC_GOOD,
+	CSC_DROP, /* for one of the largest model */
+	CSC_KEEP_LATE, /* the other one would hardly be on time */
+	CSC_KEEP_LAST, /* no further attempt is allowed */
+	CSC_KEEP_BUDGET, /* the fleet's retries are at their bound */
+};
+
 bool csc_parse(struct csc *c, const char *text);
 double csc_target(const struct csc *c, uint32_t priority);
 size_t csc_first(const struct csc *c, const struct rts_route *route);
 double csc_chance(double left_ms, double expected_ms);
-bool csc_is_weak(const struct csc *c, const struct rts_route *route,
-		 size_t model, const char *confidence, double chance);
+enum csc_choice csc_judge(const struct csc *c, const struct rts_route *route,
+			  size_t model, const char *confidence, double chance);
+const char *csc_choice_name(enum csc_choice choice);
 
 #endif
--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -330,29 +330,53 @@
 		svt_on_load(x->server, gwy_now(x->g), running, waiting, slots);
 }
 
+static enum csc_choice choose_answer(struct exc *x, const char *confidence,
+				     double chance)
+{
+	struct gwy *g = x->g;
+	const struct rty_situation s = {.now = gwy_now(g),
+					.deadline = x->deadline};
+	enum csc_choice choice = csc_judge(&g->cascade, x->route,
+					   x->model_index, confidence, chance);
+
+	if (choice != CSC_DROP)
+		return choice;
+	if (!rty_may_repeat_now(&x->retry, &s))
+		return CSC_KEEP_LAST;
+	return bud_take(&g->budget, s.now, x->service) ? CSC_DROP
+						       : CSC_KEEP_BUDGET;
+}
+
 /*
  * Drops the answer of a small model that holds it for poor, while the client
  * has none of it, and names the largest model for the next attempt.
  */
 static bool drop_for_larger(struct exc *x, const struct htm_fields *fields)
 {
-	struct gwy *g = x->g;
-	const struct rty_situation s = {.now = gwy_now(g),
-					.deadline = x->deadline};
-	size_t largest = x->route->n_models ? x->route->n_models - 1 : 0;
+	const char *confidence = htm_find(fields, x->g->names->confidence);
+	enum csc_choice choice;
+	size_t largest;
+	double chance;
 
-	if (!x->model || x->begun || !x->req ||
-	    !csc_is_weak(&g->cascade, x->route, x->model_index,
-			 htm_find(fields, g->names->confidence),
-			 exc_chance_on_time(x, s.now, largest)))
+	if (!x->model || x->begun || !x->req)
 		return false;
-	if (!rty_may_repeat_now(&x->retry, &s) ||
-	    !bud_take(&g->budget, gwy_now(g), x->service))
+	largest = x->route->n_models - 1;
+	chance = exc_chance_on_time(x, gwy_now(x->g), largest);
+	choice = choose_answer(x, confidence, chance);
+	if (choice != CSC_GOOD)
+		lge(LGE_WEAK_ANSWER,
+		    "request=%s model=%s confidence=%s wanted=%.0f larger=%s "
+		    "chance=%.2f tokens=%u ms=%" G_GUINT64_FORMAT " choice=%s",
+		    x->id, x->model, confidence,
+		    100 * csc_target(&x->g->cascade, x->route->priority),
+		    x->route->models[largest], chance, x->prompt.input_tokens,
+		    gwy_now(x->g) - x->started_at, csc_choice_name(choice));
+	if (choice != CSC_DROP)
 		return false;
 	x->model_index = largest;
 	x->model = x->route->models[largest];
 	x->answer.result = RTY_WEAK;
-	ctr_add(&g->ctr, CTR_ESCALATIONS, 1);
+	ctr_add(&x->g->ctr, CTR_ESCALATIONS, 1);
 	return true;
 }
 
--- a/log-event.h
+++ b/log-event.h
@@ -42,6 +42,7 @@
 	X(ATTEMPT_FAILED, 701, MESSAGE, "attempt without an answer to give")   \
 	X(REQUEST_REFUSED, 702, MESSAGE, "request refused")                    \
 	X(RETRY_DENIED, 703, MESSAGE, "no retry budget")                       \
+	X(WEAK_ANSWER, 704, MESSAGE, "weak answer of a model")                 \
 	X(WATCHING, 221, MESSAGE, "watching of the source changed")            \
 	X(STATE_FROM_PEER, 220, MESSAGE, "configuration from another node")    \
 	X(ROLLOUT_ORDER, 420, MESSAGE, "roll-out order")                       \
--- a/t/unit/exchange_test.cc
+++ b/t/unit/exchange_test.cc
@@ -363,13 +363,14 @@
 	const rts_route *talk = t.route("/t/x");
 	ASSERT_TRUE(csc_parse(&c, "1,0.75"));
 	EXPECT_EQ(csc_first(&c, talk), 0u);
-	EXPECT_TRUE(csc_is_weak(&c, talk, 0, "74", 1));
-	EXPECT_FALSE(csc_is_weak(&c, talk, 0, "75", 1));
-	EXPECT_FALSE(csc_is_weak(&c, talk, 0, nullptr, 1));
-	EXPECT_FALSE(csc_is_weak(&c, talk, 1, "1", 1)) << "no larger one";
-	EXPECT_FALSE(csc_is_weak(&c, talk, 0, "40", csc_chance(2000, 2000)))
+	EXPECT_EQ(csc_judge(&c, talk, 0, "74", 1), CSC_DROP);
+	EXPECT_EQ(csc_judge(&c, talk, 0, "75", 1), CSC_GOOD);
+	EXPECT_EQ(csc_judge(&c, talk, 0, nullptr, 1), CSC_GOOD);
+	EXPECT_EQ(csc_judge(&c, talk, 1, "1", 1), CSC_GOOD) << "no larger one";
+	EXPECT_EQ(csc_judge(&c, talk, 0, "40", csc_chance(2000, 2000)),
+		  CSC_KEEP_LATE)
 		<< "kept where the larger one would hardly be on time";
-	EXPECT_TRUE(csc_is_weak(&c, talk, 0, "40", csc_chance(2000, 500)));
+	EXPECT_EQ(csc_judge(&c, talk, 0, "40", csc_chance(2000, 500)), CSC_DROP);
 	EXPECT_DOUBLE_EQ(csc_chance(0, 10), 0);
 	EXPECT_DOUBLE_EQ(csc_target(&c, 9), 0.75);
 	for (const char *bad : {"", "x", "0.5,", "1.5", "0.5;1"})
