--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -235,20 +235,22 @@
 		   x->streamed ? 0 : x->head_ms);
 }
 
-static void log_attempt(const struct exc *x, enum rty_step step)
+static void log_attempt(const struct exc *x, enum hc_end end,
+			enum rty_step step)
 {
 	lge(LGE_ATTEMPT_FAILED,
-	    "request=%s server=%s address=%s attempt=%u result=%s status=%d "
+	    "request=%s server=%s address=%s attempt=%u result=%s end=%s "
+	    "status=%d "
 	    "ms=%" G_GUINT64_FORMAT " last_event=%" G_GUINT64_FORMAT
 	    " next=%s load=%.0f",
 	    x->id, x->server->id, x->server->address, x->retry.sent,
-	    rty_result_name(x->answer.result), x->answer.status,
-	    gwy_now(x->g) - x->attempt_at, x->events.last_id,
+	    rty_result_name(x->answer.result), hc_end_name(end),
+	    x->answer.status, gwy_now(x->g) - x->attempt_at, x->events.last_id,
 	    rty_step_name(step), svt_load(x->server, gwy_now(x->g)));
 }
 
 /* Decides how the request goes on after an attempt, and does it. */
-static void go_on(struct exc *x)
+static void go_on(struct exc *x, enum hc_end end)
 {
 	struct gwy *g = x->g;
 	struct rty_situation s = {
@@ -269,7 +271,7 @@
 	}
 	if (x->answer.result != RTY_WEAK &&
 	    (x->answer.result != RTY_GOOD || step != RTY_DELIVER))
-		log_attempt(x, step);
+		log_attempt(x, end, step);
 	x->server = NULL;
 	switch (step) {
 	case RTY_DELIVER:
@@ -318,7 +320,7 @@
 		end_stream(x);
 		return;
 	}
-	go_on(x);
+	go_on(x, end);
 }
 
 /* Reads "running,waiting,slots". */
--- a/http/client.c
+++ b/http/client.c
@@ -75,6 +75,15 @@
 	enum hc_end end;
 };
 
+/* Returns the name of how a call ended, for logs. */
+const char *hc_end_name(enum hc_end end)
+{
+	static const char *const names[] = {"whole", "not-sent", "broken",
+					    "silent", "cancelled"};
+
+	return names[end];
+}
+
 /* Makes a client that runs on the loop. */
 struct hc *hc_new(uv_loop_t *loop)
 {
--- a/http/client.h
+++ b/http/client.h
@@ -64,6 +64,7 @@
 	void (*done)(void *user, enum hc_end end);
 };
 
+const char *hc_end_name(enum hc_end end);
 struct hc *hc_new(uv_loop_t *loop);
 struct hc_call *hc_start(struct hc *hc, const struct hc_request *request,
 			 const struct hc_events *events, void *user);
