explain: tell a request's or roll-out's story from logs alone

Cause: on-call engineers of the users' platform have only logs and metrics; explain asked nodes that may be gone, and knew nothing of configured routes.

Shows what the nodes last learnt of the request's server, the store, members and configuration before its end, in the order of time; each step of a roll-out once, with the nodes that followed.

--- a/builtin/explain.c
+++ b/builtin/explain.c
@@ -1,22 +1,32 @@
+#include <errno.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "builtin/builtin.h"
 #include "builtin/cli.h"
+#include "builtin/explain-log.h"
 #include "config/sections.h"
 #include "json-check.h"
 #include "rollout/evidence.h"
 
 #define MAX_NODES 64
+#define MAX_LOGS 1024
 
 static const char explain_text[] =
 	"Tells how a request was handled: which versions were candidates, why\n"
 	"one was chosen, what was tried with what verdict, what was billed.\n"
 	"Nodes keep their last 2048 requests.\n"
-	"Of a roll-out, tells the evidence by which it grew or was stopped.\n\n"
+	"Of a roll-out, tells the evidence by which it grew or was stopped.\n"
+	"With --log, tells the same from the nodes' log lines alone, in the\n"
+	"order of time, with what the nodes then knew of servers, store and\n"
+	"configuration; '-' is standard input. A roll-out on configured "
+	"routes\n"
+	"has the name of its service.\n\n"
 	"example: chivegw explain 4f..0a --node 127.0.0.1:8201 "
 	"--key-file operator.key\n"
-	"         chivegw explain rollout quill-4 --platform 127.0.0.1:8000\n";
+	"         chivegw explain rollout quill-4 --platform 127.0.0.1:8000\n"
+	"         chivegw explain 4f..0a --log a.log --log b.log\n";
 
 static void print_explanation(struct json_object *o)
 {
@@ -144,7 +154,54 @@
 	return CLI_OK;
 }
 
-/* chivegw explain REQUEST-ID --node IP:PORT ...; explain rollout NAME */
+static bool read_log(struct xlg *x, const char *path)
+{
+	FILE *file = strcmp(path, "-") ? fopen(path, "r") : stdin;
+	char *line = NULL;
+	size_t size = 0;
+	bool ok;
+
+	if (!file) {
+		fprintf(stderr, "chivegw explain: cannot open %s: %s\n", path,
+			g_strerror(errno));
+		return false;
+	}
+	while (getline(&line, &size, file) >= 0)
+		xlg_add_line(x, line);
+	ok = !ferror(file);
+	if (!ok)
+		fprintf(stderr, "chivegw explain: cannot read %s: %s\n", path,
+			g_strerror(errno));
+	free(line);
+	if (file != stdin)
+		(void)fclose(file);
+	return ok;
+}
+
+static int explain_logs(enum xlg_topic topic, const char *name,
+			const char **paths, int n)
+{
+	struct xlg *x = xlg_new(topic, name);
+	g_autoptr(GString) out = g_string_new(NULL);
+	int code = CLI_OK;
+
+	for (int i = 0; i < n && code == CLI_OK; i++)
+		if (!read_log(x, paths[i]))
+			code = CLI_USAGE;
+	if (code == CLI_OK && !xlg_tell(x, out)) {
+		fprintf(stderr,
+			"chivegw explain: no line of these logs tells of "
+			"'%s'\n",
+			name);
+		code = CLI_FAILED;
+	}
+	if (code == CLI_OK)
+		fputs(out->str, stdout);
+	xlg_free(x);
+	return code;
+}
+
+/* chivegw explain REQUEST-ID --node IP:PORT ...; explain rollout NAME; both --log */
 int cmd_explain(int argc, char **argv)
 {
 	struct arg_str *what = arg_strn(NULL, NULL, "REQUEST-ID|rollout NAME",
@@ -153,13 +210,15 @@
 					"operators' address of a node");
 	struct arg_str *platform = arg_str0(NULL, "platform", "IP:PORT",
 					    "with rollout: the object API");
+	struct arg_file *log = arg_filen(NULL, "log", "FILE", 0, MAX_LOGS,
+					 "log of a node, or of many; '-'");
 	struct arg_file *key = arg_file0(NULL, "key-file", "FILE",
 					 "operators' key; or "
 					 "CHIVEGW_OPERATOR_KEY");
 	struct arg_lit *json = arg_lit0(NULL, "json", "print JSON");
 	struct arg_lit *help = arg_lit0("h", "help", "print this help");
 	struct arg_end *end = arg_end(8);
-	void *table[] = {what, node, platform, key, json, help, end};
+	void *table[] = {what, node, platform, log, key, json, help, end};
 	g_autofree char *held = NULL;
 	const char *secret;
 	struct cli c;
@@ -169,11 +228,21 @@
 		       &code))
 		return code;
 	if (what->count == 2) {
-		if (strcmp(what->sval[0], "rollout") != 0 ||
-		    !cli_open(&c, "explain", platform))
+		if (strcmp(what->sval[0], "rollout") != 0) {
+			fprintf(stderr, "chivegw explain: give one request, or "
+					"rollout NAME\n");
+			return CLI_USAGE;
+		}
+		if (log->count)
+			return explain_logs(XLG_ROLLOUT, what->sval[1],
+					    log->filename, log->count);
+		if (!cli_open(&c, "explain", platform))
 			return CLI_USAGE;
 		return explain_rollout(&c, what->sval[1]);
 	}
+	if (log->count)
+		return explain_logs(XLG_REQUEST, what->sval[0], log->filename,
+				    log->count);
 	secret = cli_key(key, &held);
 	if (!secret || !node->count) {
 		fprintf(stderr,
--- /dev/null
+++ b/t/t0014-explain-log.sh
@@ -0,0 +1,75 @@
+#!/usr/bin/env bash
+# From a failed request's id to its cause by the nodes' logs alone: one refused
+# at once, one that may have run, one whose stream broke off; and a roll-out.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+BASE=${BASE:-29000}
+. t/lib.sh
+. t/lib-routes.sh
+CLI=$BUILD/chivegw
+
+# story ID [ARGUMENTS]: what explain tells of it, in $WORK/story.
+story() {
+	"$CLI" explain "$@" --log "$WORK/route1.log" --log "$WORK/route2.log" >"$WORK/story" 2>"$WORK/err"
+}
+
+# tells TEXT: the story has a line with it.
+tells() {
+	grep -q -- "$1" "$WORK/story" || fail "no '$1' in: $(cat "$WORK/story" "$WORK/err")"
+}
+
+start_objects
+start_route_node 1
+until_true 10 curl -s -o /dev/null "http://$(ready_at 1)/" || fail "no listener"
+expect "before a configuration" 503 "$(send 1 GET /read/ok)"
+refused=$(cat "$WORK/id")
+for n in 1 2; do start_backend "$n" desk; done
+configure 3
+start_route_node 2
+for n in 1 2; do route_ready "$n"; done
+expect "good" 200 "$(send 2 GET /read/ok)"
+expect "an order whose answer is lost" 502 "$(send 2 POST /order/lose)"
+lost=$(cat "$WORK/id")
+send 1 GET /talk/stream-gap >/dev/null
+broken=$(cat "$WORK/id")
+
+say "a request refused at once"
+until_true 5 story "$refused" || fail "$(cat "$WORK/err")"
+tells "route1  *\* E702 request refused: .*reason=no-configuration"
+tells "E100 node started"
+
+say "a request that may have run"
+until_true 5 story "$lost" || fail "$(cat "$WORK/err")"
+tells "route2  *\* E701 .*server=i-[12] .*result=broken"
+tells "route2  *\* E700 .*status=502 .*verdict=may-have-run"
+tells "  E710 server changed state: server=i-[12] .*to=ready"
+tells "  E200 configuration in force"
+grep -q "route1" "$WORK/story" && fail "another node's beliefs: $(cat "$WORK/story")"
+grep -q "$refused" "$WORK/story" && fail "another request: $(cat "$WORK/story")"
+sort -c -k1,1n <(awk 'NR > 1 {print $1}' "$WORK/story") || fail "order of time"
+
+say "a stream that broke off"
+until_true 5 story "$broken" || fail "$(cat "$WORK/err")"
+tells "\* E700 .*outcome=broken-off"
+
+say "a roll-out"
+start_backend 3 desk v2
+put rollouts/desk '{"spec":{"service":"desk","target":"v2","over_s":6}}'
+until_true 10 story rollout desk || fail "$(cat "$WORK/err")"
+tells "E420 roll-out order: service=desk target=v2 over_ms=6000"
+until_true 10 eval 'story rollout desk && grep -q "by 1 more node" "$WORK/story"' || fail "$(cat "$WORK/story")"
+
+say "logs of a collector, bad input"
+sed 's/^/<13>1 collector: /' "$WORK"/route*.log | "$CLI" explain "$lost" --log - >"$WORK/story2" || fail "prefixed lines"
+story "$lost"
+cmp -s "$WORK/story" "$WORK/story2" || fail "prefixed lines tell another story"
+head -c 4000 /dev/urandom | "$CLI" explain "$lost" --log - 2>"$WORK/err"
+expect "noise" 1 $?
+grep -q "no line of these logs tells of '$lost'" "$WORK/err" || fail "$(cat "$WORK/err")"
+"$CLI" explain "$lost" --log "$WORK/nothing" 2>"$WORK/err"
+expect "no such file" 2 $?
+grep -q "cannot open $WORK/nothing" "$WORK/err" || fail "$(cat "$WORK/err")"
+"$CLI" explain one two --log - </dev/null 2>/dev/null
+expect "two ids" 2 $?
+grep -q "$ROUTE_KEY" "$WORK"/route*.log && fail "a key in the logs"
+say "ok"
