t: soak configured routes under random faults

Cause: the randomised run knew the product's own doors only; routes of the users' platform were tried under mixed faults on their bench alone.

--- a/Makefile
+++ b/Makefile
@@ -124,6 +124,7 @@
 SECONDS ?= 60
 soak: all
 	@BUILD=$(BUILD) t/soak.sh $(SEED) $(SECONDS)
+	@BUILD=$(BUILD) t/soak-routes.sh $(SEED) $(SECONDS)
 
 # Fuzzes all that reads bytes from outside; needs clang's runtime library.
 FUZZ_SRC = t/fuzz/parsers.c $(PURE_SRC) daemon/settings.c http/address.c \
--- /dev/null
+++ b/t/soak-routes.sh
@@ -0,0 +1,149 @@
+#!/usr/bin/env bash
+# A long randomised run of configured routes: soak-routes.sh SEED SECONDS.
+# Three nodes under orders, reads and streams while nodes are killed, frozen,
+# stopped and reloaded, the store fails in every way, configurations and keys
+# change, servers leave and misbehave, and versions roll out. At the end:
+#   - no order ran twice; one answered ran once; one refused as not run did
+#     not run;
+#   - no stream has a gap, a repeated event or two runs joined;
+#   - nothing ran under a key that no configuration held, or unasked;
+#   - the newest configuration is in force everywhere, all is served again.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+SEED=${1:-1}
+LENGTH=${2:-60}
+BASE=${BASE:-28000}
+RANDOM=$SEED
+. t/lib.sh
+. t/lib-routes.sh
+
+pick() { echo $((RANDOM % $1 + 1)); }
+mode_of() { curl -fs -m 2 -o /dev/null "http://$(backend "$1")/control/$2"; }
+store() { curl -fs -m 2 -o /dev/null -d "$1" "http://$STORE/control"; }
+VERSION=3
+change() {
+	VERSION=$((VERSION + 1 + RANDOM % 3))
+	SECOND_KEY=key-$VERSION configure "$VERSION"
+}
+
+start_objects
+for n in 1 2 3; do start_route_node "$n"; done
+for n in 1 2 3 4; do start_backend "$n" desk; done
+configure $VERSION
+for n in 1 2 3; do route_ready "$n"; done
+
+# worker N SECONDS: sends until the time is over; a line a request in $WORK/log.N.
+worker() {
+	local until=$((SECONDS + $2)) i=0 w=$1 kind method status id node
+	RANDOM=$((SEED * 100 + w))
+	while [ "$SECONDS" -lt "$until" ]; do
+		i=$((i + 1)) id=s$w-$i node=$((RANDOM % 3 + 1))
+		case $((RANDOM % 5)) in
+		0 | 1 | 2) kind=order method=POST ;;
+		3) kind=read method=GET ;;
+		4) kind=talk method=POST ;;
+		esac
+		local path=ok key=$ROUTE_KEY extra=()
+		[ $kind = talk ] && path=stream-slow &&
+			extra=(-H 'X-Chivegw-Model: *' -H 'X-Chivegw-Token-Counts: 100,50')
+		[ $((RANDOM % 20)) = 0 ] && key=never-a-key
+		status=$(curl -s -m 4 -X $method -o "$WORK/out.$w" -w '%{http_code}' \
+			-H "Host: $HOST" -H "Authorization: Token $key" \
+			-H "X-Chivegw-Request-Id: $id" -H "Session: w$w" \
+			-H 'X-Chivegw-Deadline-Ms: 2000' "${extra[@]}" \
+			"http://$(caller $node)/$kind/$path")
+		echo "$kind $id $status $? $key"
+		[ $kind = talk ] && [ "$status" = 200 ] &&
+			sed -n 's/^id: *//p' "$WORK/out.$w" | tr '\n' ' ' | sed "s/^/events $id /; s/\$/\n/"
+	done >"$WORK/log.$w"
+}
+workers=()
+for w in {1..16}; do
+	worker $w "$LENGTH" &
+	workers+=($!)
+done
+
+restart() {
+	[ -n "${PIDS[route$1]:-}" ] && kill -0 "${PIDS[route$1]}" 2>/dev/null && return
+	run "route$1" "$BUILD/chivegwd" --settings "$WORK/route$1.jsonc"
+}
+SHIFTS=0
+trouble() {
+	local n b
+	n=$(pick 3) b=$(pick 4)
+	[ -n "${PIDS[route$n]:-}" ] || return 0
+	case $((RANDOM % 15)) in
+	0) say "kill route$n" && crash "route$n" ;;
+	1) say "freeze route$n" && freeze "route$n" && sleep 1.$((RANDOM % 10)) && thaw "route$n" ;;
+	2) say "stop route$n" && kill -TERM "${PIDS[route$n]}" && wait "${PIDS[route$n]}" ;;
+	3) say "reload route$n" && kill -HUP "${PIDS[route$n]}" ;;
+	4) say "store refuses" && store '{"mode":"busy"}' ;;
+	5) say "store silent" && store '{"mode":"silent"}' ;;
+	6) say "store resets" && store '{"mode":"reset"}' ;;
+	7) say "store forgets" && store '{"forget":true,"cut":true}' ;;
+	8) say "configuration changes" && change ;;
+	9) say "server $b leaves" && enter "$b" desk v1 draining ;;
+	10) say "server $b loses answers" && mode_of "$b" lose ;;
+	11) say "server $b crosses answers" && mode_of "$b" crossed ;;
+	12) say "server $b cuts answers" && mode_of "$b" unframed-cut ;;
+	13) say "server $b is frozen" && freeze "backend$b" && sleep 0.$((RANDOM % 9 + 1)) && thaw "backend$b" ;;
+	14)
+		SHIFTS=$((SHIFTS + 1))
+		say "a new version" && enter "$b" desk v2 ready &&
+			put rollouts/desk "{\"spec\":{\"service\":\"desk\",\"target\":\"v2\",\"over_s\":6}}"
+		;;
+	esac
+}
+calm() {
+	store '{"mode":"ok"}'
+	for b in 1 2 3 4; do mode_of "$b" none && enter "$b" desk v1 ready; done
+	for n in 1 2 3; do restart "$n"; done
+}
+end=$((SECONDS + LENGTH))
+while [ "$SECONDS" -lt "$end" ]; do
+	trouble
+	sleep 0.$((RANDOM % 9 + 1))
+	[ $((RANDOM % 2)) = 0 ] && trouble
+	sleep 0.$((RANDOM % 9 + 1))
+	calm
+	sleep 0.$((RANDOM % 9 + 1))
+done
+wait "${workers[@]}"
+calm
+for n in 1 2 3; do route_ready "$n"; done
+sleep 2
+
+cat "$WORK"/log.* >"$WORK/log"
+for b in 1 2 3 4; do curl -fs -m 5 "http://$(backend "$b")/ran"; done >"$WORK/ran"
+awk 'FILENAME ~ /ran$/ { ran[$1]++; next }
+	$1 == "events" {
+		last = 0
+		for (i = 3; i <= NF; i++) {
+			if ($i != last + 1) print "events out of order:", $0
+			last = $i
+		}
+		next
+	}
+	{ asked[$2] = 1 }
+	$5 == "never-a-key" && ran[$2] { print "ran without a key:", $0 }
+	$5 == "never-a-key" && $3 == 200 { print "served without a key:", $0 }
+	$1 != "order" { next }
+	ran[$2] > 1 { print "ran twice:", $0, ran[$2] }
+	$3 == 200 && $4 == 0 && ran[$2] != 1 { print "answered, not run:", $0 }
+	($3 == 503 || $3 == 429 || $3 == 408 || $3 == 421) && ran[$2] { print "said not run, ran:", $0 }
+	END { for (id in ran) if (!asked[id]) print "unasked:", id }' \
+	"$WORK/ran" "$WORK/log" >"$WORK/bad"
+say "requests: $(grep -vc ^events "$WORK/log"), whole streams: $(grep -c '1 2 3 4 5 $' "$WORK/log"), runs: $(wc -l <"$WORK/ran"), statuses: $(grep -v ^events "$WORK/log" | awk '{print $3}' | sort | uniq -c | tr '\n' ' ')"
+[ ! -s "$WORK/bad" ] || fail "$(head -n 5 "$WORK/bad")"
+
+say "all is served again, by the newest configuration"
+change
+for n in 1 2 3; do
+	until_true 8 grep -q "in force: revision=$VERSION " "$WORK/route$n.log" || fail "route$n has not revision $VERSION"
+	for i in 1 2 3 4 5; do expect "order" 200 "$(send "$n" POST /order/ok)"; done
+	expect "the new key" 200 "$(AUTH="Token key-$VERSION" send "$n" GET /read/ok)"
+done
+for log in "$WORK"/route*.log; do
+	grep -q "invariant broken\|E105" "$log" && fail "$(grep "invariant broken\|E105" "$log")"
+done
+say "soak: seed $SEED, $LENGTH s, $SHIFTS roll-outs: all as wanted"
