door: list models, refuse a body that is no text, choices in each event

Cause: clients of chat completions ask /v1/models first, and read choices of each event; the last one, with the usage, had none. A body with invalid UTF-8 was passed on to engines.

Change: GET /v1/models lists what the caller's organisation may ask for; the usage event gets an empty choices list if the engine sends none; a body that is no UTF-8 is refused with 400. The tests' readers of events look at the first choice; the count of a stream's events counts those with a delta.

--- a/answer/answer.c
+++ b/answer/answer.c
@@ -107,6 +107,23 @@
 		       "content", "");
 }
 
+/* Clients of chat completions expect choices in each event. */
+static void pass_usage(struct json_object *event, const char *raw, size_t len,
+		       ans_sink sink, void *user)
+{
+	g_autofree char *text = NULL;
+
+	if (jsn_get(event, "choices")) {
+		sink(user, raw, len);
+		return;
+	}
+	json_object_object_add(event, "choices", json_object_new_array());
+	text = g_strdup_printf(
+		SSE_PREFIX "%s\n\n",
+		json_object_to_json_string_ext(event, JSON_C_TO_STRING_PLAIN));
+	sink(user, text, strlen(text));
+}
+
 /* Decides on one event: passes it on, drops a repeat, or ends the attempt. */
 static bool take_event(struct ans *a, struct json_object *event,
 		       const char *raw, size_t len, ans_sink sink, void *user)
@@ -125,7 +142,7 @@
 		if (a->has_usage)
 			return true;
 		take_usage(a, jsn_get(event, "usage"));
-		sink(user, raw, len);
+		pass_usage(event, raw, len, sink, user);
 		return true;
 	}
 	a->next_offset++;
--- a/door/callers-task.c
+++ b/door/callers-task.c
@@ -4,27 +4,38 @@
 
 #include "daemon/node.h"
 #include "door/chat-task.h"
+#include "door/models-task.h"
 #include "door/operator-task.h"
 #include "door/plain-task.h"
 
+static void refuse(struct hs_req *req, int status, const char *reason)
+{
+	g_autofree char *text = g_strdup_printf(
+		"{\"error\":{\"verdict\":\"not-run\",\"reason\":\"%s\"}}",
+		reason);
+
+	hs_reply_json(req, status, text);
+}
+
 /* Serves the callers' address. */
 void clr_on_request(void *node, struct hs_req *req)
 {
 	struct node *n = node;
 	const char *path = hs_path(req);
+	const char *method = hs_method(req);
 
 	if (!strcmp(path, "/healthz") || !strcmp(path, "/readyz"))
 		opr_on_health(n, req);
 	else if (g_str_has_prefix(path, "/services/"))
 		pln_start(n, req);
+	else if (!strcmp(path, "/v1/models") && !strcmp(method, "GET"))
+		mdl_start(n, req);
+	else if (!strcmp(path, "/v1/models"))
+		refuse(req, 405, "only-get");
 	else if (strcmp(path, "/v1/chat/completions") != 0)
-		hs_reply_json(req, 404,
-			      "{\"error\":{\"verdict\":\"not-run\",\"reason\":"
-			      "\"unknown-path\"}}");
-	else if (strcmp(hs_method(req), "POST") != 0)
-		hs_reply_json(req, 405,
-			      "{\"error\":{\"verdict\":\"not-run\",\"reason\":"
-			      "\"only-post\"}}");
+		refuse(req, 404, "unknown-path");
+	else if (strcmp(method, "POST") != 0)
+		refuse(req, 405, "only-post");
 	else
 		cht_start(n, req);
 }
--- a/door/chat-prepare.c
+++ b/door/chat-prepare.c
@@ -57,6 +57,8 @@
 	g_autofree char *text = g_strndup(bytes, len);
 	const char *model;
 
+	if (!g_utf8_validate(bytes, (gssize)len, NULL))
+		return bad_request(c, "bad-body", "the body is no valid UTF-8");
 	c->body = json_tokener_parse(text);
 	if (!json_object_is_type(c->body, json_type_object))
 		return bad_request(c, "bad-body", "the body is no JSON object");
--- /dev/null
+++ b/door/models-task.c
@@ -0,0 +1,57 @@
+#include "door/models-task.h"
+
+#include <json-c/json.h>
+
+#include "door/door.h"
+#include "json-check.h"
+
+/* A model as clients of chat completions expect it in a list. */
+static struct json_object *model_json(const char *model)
+{
+	struct json_object *o = json_object_new_object();
+
+	jsn_add_str(o, "id", model);
+	jsn_add_str(o, "object", "model");
+	jsn_add_str(o, "owned_by", "chivegw");
+	json_object_object_add(o, "created", json_object_new_int(0));
+	return o;
+}
+
+/* The models that an organisation may ask for by name, and the choice of all. */
+static struct json_object *models_json(const struct cfg *cfg, cfg_handle org)
+{
+	struct json_object *o = json_object_new_object();
+	struct json_object *list = json_object_new_array();
+	g_autoptr(GHashTable) seen = g_hash_table_new(g_str_hash, g_str_equal);
+
+	json_object_array_add(list, model_json("auto"));
+	for (size_t i = 0; i < cfg->n_versions; i++) {
+		char *model = cfg->versions[i].model;
+
+		if (cfg_may_use(cfg, org, (cfg_handle)i) &&
+		    g_hash_table_add(seen, model))
+			json_object_array_add(list, model_json(model));
+	}
+	jsn_add_str(o, "object", "list");
+	json_object_object_add(o, "data", list);
+	return o;
+}
+
+/* Answers which models the caller's organisation may use. */
+void mdl_start(struct node *n, struct hs_req *req)
+{
+	struct dor d;
+	struct json_object *o;
+	cfg_handle org;
+
+	if (dor_begin(&d, n, req) && dor_resolve(&d, &org)) {
+		o = models_json(n->cfg, org);
+		dor_answer_headers(&d, NULL, VD_RAN);
+		hs_reply_json(req, 200,
+			      json_object_to_json_string_ext(
+				      o, JSON_C_TO_STRING_PLAIN));
+		json_object_put(o);
+		dor_end(&d, VD_RAN);
+	}
+	dor_clear(&d);
+}
--- a/t/matrix.sh
+++ b/t/matrix.sh
@@ -61,7 +61,7 @@
 # outcome FILE: whole, broken off with a right beginning, refused, or wrong.
 outcome() {
 	local text
-	text=$(sed -n 's/^data: \({.*\)/\1/p' "$1" | jq -rj 'select(.choices) | .choices[0].delta.content' 2>/dev/null | sed 's/\[q=[0-9.]*\]/q/')
+	text=$(sed -n 's/^data: \({.*\)/\1/p' "$1" | jq -rj 'select(.choices[0]) | .choices[0].delta.content' 2>/dev/null | sed 's/\[q=[0-9.]*\]/q/')
 	local right
 	right=$(printf q; for i in $(seq 1 99); do printf ' w%d' "$i"; done)
 	if grep -q another-request "$1"; then
--- a/t/t0002-answers.sh
+++ b/t/t0002-answers.sh
@@ -22,7 +22,7 @@
 # The text of a streamed answer, put together from its events.
 text() {
 	sed -n 's/^data: \({.*\)/\1/p' "$WORK/body" |
-		jq -rj 'select(.choices) | .choices[0].delta.content'
+		jq -rj 'select(.choices[0]) | .choices[0].delta.content'
 }
 right=$(printf '[q=0.9]'; for i in $(seq 1 23); do printf ' w%d' "$i"; done)
 # Quality varies from answer to answer; the words after it may not.
@@ -41,6 +41,16 @@
 
 say "without faults"
 whole plain
+expect "every event has choices" 0 "$(sed -n 's/^data: \({.*\)/\1/p' "$WORK/body" | jq -c 'select(has("choices") | not)' | wc -l)"
+expect "the last event's choices" '[]' "$(sed -n 's/^data: \({.*usage.*\)/\1/p' "$WORK/body" | jq -c .choices)"
+
+say "models, and a body that is no text"
+expect "models" 200 "$(ask 1 $KEY GET /v1/models)"
+expect "their names" "auto quill quill-mini" "$(jq -r '.data[].id' "$WORK/body" | sort | xargs)"
+expect "models without a key" 401 "$(ask 1 nobody GET /v1/models)"
+expect "models by another method" 405 "$(ask 1 $KEY POST /v1/models -d x)"
+expect "invalid UTF-8" 400 "$(ask 1 $KEY POST /v1/chat/completions -H 'x-chivegw-kind: draft' --data-binary $'{"messages":[{"role":"user","content":"\xff\xfe"}]}')"
+grep -q 'no valid UTF-8' "$WORK/body" || fail "$(cat "$WORK/body")"
 
 for fault in die silent gap crossed doubled refuse error; do
 	say "streamed, one engine: $fault"
--- a/t/t0004-leaving.sh
+++ b/t/t0004-leaving.sh
@@ -25,7 +25,7 @@
 }
 is_whole() { # FILE
 	expect "stream's status" "200 0" "$(cat "$1.code")"
-	expect "stream's events" 300 "$(grep -c '"choices"' "$1")"
+	expect "stream's events" 300 "$(grep -c '"delta"' "$1")"
 	grep -q '^data: \[DONE\]' "$1" || fail "no end in $1"
 }
 
