fleet: tell other nodes only of the servers that changed

In a large fleet most nodes hear of servers from a peer, which sent the whole table on each change: at 1,000 servers some 200 kB to each of 100 nodes, longer than the 400 ms that the asking node waits.

Ruled out: the watchers; the four in rank had the change within 7 ms.

Change: a node that knows the servers up to a revision asks for what changed since; the other one remembers the last 1,024 removals and from which revision they are complete, and sends the whole table where they are not, or to a node that does not ask for changes.

--- a/fleet/state-task.c
+++ b/fleet/state-task.c
@@ -17,6 +17,8 @@
 #define REFRESH_EVERY_MS 2000
 #define ANSWER_MS 400
 #define MAX_ANSWER_BYTES (8 * 1024 * 1024)
+/* Asks for the servers that changed; nodes before it sent them all. */
+#define CHANGES_ONLY "&changes=1"
 #define KEY_HEADER "X-Chivegw-Cluster-Key"
 
 struct pst {
@@ -39,6 +41,18 @@
 	return t;
 }
 
+static uint64_t number_after(const char *path, const char *key)
+{
+	const char *at = strstr(path, key);
+
+	return at ? g_ascii_strtoull(at + strlen(key), NULL, 10) : 0;
+}
+
+static void add_number(struct json_object *o, const char *key, uint64_t n)
+{
+	json_object_object_add(o, key, json_object_new_int64((int64_t)n));
+}
+
 static struct json_object *server_json(const struct svt_server *s)
 {
 	struct json_object *o = json_object_new_object();
@@ -56,30 +70,50 @@
 	return o;
 }
 
-static struct json_object *servers_json(const struct svt *t)
+/* The servers whose entry changed after a revision; 0: all. */
+static struct json_object *servers_json(const struct svt *t, uint64_t since)
 {
 	struct json_object *list = json_object_new_array();
 
 	for (guint i = 0; i < t->all->len; i++) {
 		const struct svt_server *s = t->all->pdata[i];
 
-		if (s->state != SVT_GONE)
+		if (s->state != SVT_GONE && s->revision > since)
 			json_object_array_add(list, server_json(s));
 	}
 	return list;
 }
 
-static uint64_t number_after(const char *path, const char *key)
+/* The ids of those removed after a revision, and not back since. */
+static struct json_object *removed_json(const struct gwy *g, uint64_t since)
 {
-	const char *at = strstr(path, key);
+	struct json_object *list = json_object_new_array();
 
-	return at ? g_ascii_strtoull(at + strlen(key), NULL, 10) : 0;
+	for (guint i = rmv_first_after(&g->removals, since);
+	     i < g->removals.ids->len; i++) {
+		const char *id = g->removals.ids->pdata[i];
+		const struct svt_server *s = svt_find(&g->servers, id);
+
+		if (!s || s->state == SVT_GONE)
+			json_object_array_add(list, json_object_new_string(id));
+	}
+	return list;
 }
 
-static void add_changed(struct json_object *o, const char *key,
-			uint64_t changed)
+/* A node that knows the servers up to a revision gets what changed since. */
+static void add_servers(const struct gwy *g, struct json_object *o,
+			const char *path)
 {
-	json_object_object_add(o, key, json_object_new_int64((int64_t)changed));
+	uint64_t since = number_after(path, "servers=");
+
+	if (!strstr(path, CHANGES_ONLY) || !rmv_covers(&g->removals, since))
+		since = 0;
+	json_object_object_add(o, "servers", servers_json(&g->servers, since));
+	if (since)
+		json_object_object_add(o, "servers_gone",
+				       removed_json(g, since));
+	add_number(o, "servers_as_of", g->as_of[FED_SERVERS]);
+	add_number(o, "servers_changed", g->changed[FED_SERVERS]);
 }
 
 static void take_changed(struct gwy *g, enum fed_topic topic,
@@ -113,21 +147,14 @@
 	    g->routes->revision > number_after(hs_path(req), "config="))
 		json_object_object_add(o, "config", json_object_get(g->doc));
 	if (g->listed[FED_SERVERS] &&
-	    g->as_of[FED_SERVERS] > number_after(hs_path(req), "servers=")) {
-		json_object_object_add(o, "servers", servers_json(&g->servers));
-		json_object_object_add(
-			o, "servers_as_of",
-			json_object_new_int64((int64_t)g->as_of[FED_SERVERS]));
-		add_changed(o, "servers_changed", g->changed[FED_SERVERS]);
-	}
+	    g->as_of[FED_SERVERS] > number_after(hs_path(req), "servers="))
+		add_servers(g, o, hs_path(req));
 	if (g->listed[FED_ROLLOUTS] &&
 	    g->as_of[FED_ROLLOUTS] > number_after(hs_path(req), "rollouts=")) {
 		json_object_object_add(o, "rollouts",
 				       sht_orders_json(g->shifts));
-		json_object_object_add(
-			o, "rollouts_as_of",
-			json_object_new_int64((int64_t)g->as_of[FED_ROLLOUTS]));
-		add_changed(o, "rollouts_changed", g->changed[FED_ROLLOUTS]);
+		add_number(o, "rollouts_as_of", g->as_of[FED_ROLLOUTS]);
+		add_number(o, "rollouts_changed", g->changed[FED_ROLLOUTS]);
 	}
 	hs_reply_json(
 		req, 200,
@@ -155,14 +182,23 @@
 static void take_servers(struct gwy *g, struct json_object *answer)
 {
 	struct json_object *list = jsn_get(answer, "servers");
+	struct json_object *gone = jsn_get(answer, "servers_gone");
 	uint64_t as_of = (uint64_t)jsn_int(answer, "servers_as_of", 0);
 
 	if (!list || as_of <= g->as_of[FED_SERVERS])
 		return;
-	g->events->list(g, FED_SERVERS, false);
+	if (!gone)
+		g->events->list(g, FED_SERVERS, false);
 	for (size_t i = 0; i < jsn_len(list); i++)
 		take_server(g, json_object_array_get_idx(list, i));
-	g->events->list(g, FED_SERVERS, true);
+	for (size_t i = 0; i < jsn_len(gone); i++)
+		g->events->server_gone(
+			g,
+			json_object_get_string(
+				json_object_array_get_idx(gone, i)),
+			as_of);
+	if (!gone)
+		g->events->list(g, FED_SERVERS, true);
 	take_changed(g, FED_SERVERS, answer, "servers_changed");
 	gwy_take_as_of(g, FED_SERVERS, as_of);
 }
@@ -245,12 +281,12 @@
 	char text[INET_ADDRSTRLEN];
 	g_autofree char *headers = g_strdup_printf(KEY_HEADER ": %s\r\n",
 						   g->settings->cluster_key);
-	g_autofree char *path =
-		g_strdup_printf(PST_PATH "?config=%" G_GUINT64_FORMAT
-					 "&servers=%" G_GUINT64_FORMAT
-					 "&rollouts=%" G_GUINT64_FORMAT,
-				g->routes ? g->routes->revision : 0,
-				g->as_of[FED_SERVERS], g->as_of[FED_ROLLOUTS]);
+	g_autofree char *path = g_strdup_printf(
+		PST_PATH "?config=%" G_GUINT64_FORMAT
+			 "&servers=%" G_GUINT64_FORMAT
+			 "&rollouts=%" G_GUINT64_FORMAT CHANGES_ONLY,
+		g->routes ? g->routes->revision : 0, g->as_of[FED_SERVERS],
+		g->as_of[FED_ROLLOUTS]);
 	struct hc_request req = {
 		.address = t->address,
 		.method = "GET",
--- a/t/t0012-fleet.sh
+++ b/t/t0012-fleet.sh
@@ -37,6 +37,15 @@
 for i in 1 2 3 4 5 6; do expect "read" 200 "$(send 3 GET /read/ok)"; done
 expect "runs at the leaving server" "$lines" "$(curl -fs "http://$(backend 1)/ran" | wc -l)"
 
+say "nodes tell each other only of the servers that changed"
+lists=$(grep -c E711 "$WORK/route3.log")
+start_backend 7 desk
+until_true 4 grep -q 'server=i-7 .*to=ready' "$WORK/route3.log" || fail "route3 has not heard of a new server"
+take_away servers/i-7
+until_true 4 grep -q 'server=i-7 to=gone' "$WORK/route3.log" || fail "route3 has not heard that a server is gone"
+expect "whole lists" "$lists" "$(grep -c E711 "$WORK/route3.log")"
+crash backend7
+
 say "a node that starts while the store is away asks the others"
 crash route3
 NODE_STORE=$(port 2) start_route_node 3 '"store_timeout_ms": 400'
--- a/t/unit/exchange_test.cc
+++ b/t/unit/exchange_test.cc
@@ -13,6 +13,7 @@
 #include "exchange/events.h"
 #include "exchange/loads.h"
 #include "exchange/prompt.h"
+#include "exchange/removals.h"
 #include "exchange/retry.h"
 #include "exchange/routes.h"
 #include "exchange/servers.h"
@@ -426,6 +427,31 @@
 	EXPECT_STREQ(s.pick({}), "a");
 }
 
+TEST(Removals, AreToldToThoseWhoMayNotKnowThem)
+{
+	rmv r;
+	rmv_init(&r);
+	EXPECT_FALSE(rmv_covers(&r, 5)) << "nothing is known yet";
+	rmv_stamp(&r, 10);
+	EXPECT_FALSE(rmv_covers(&r, 9)) << "one may have gone before the list";
+	EXPECT_TRUE(rmv_covers(&r, 10));
+	rmv_note(&r, "a");
+	rmv_note(&r, "b");
+	rmv_stamp(&r, 12);
+	rmv_note(&r, "c");
+	rmv_stamp(&r, 15);
+	EXPECT_EQ(rmv_first_after(&r, 10), 0u);
+	EXPECT_EQ(rmv_first_after(&r, 12), 2u);
+	EXPECT_EQ(rmv_first_after(&r, 15), 3u);
+	for (int i = 0; i < RMV_MOST; i++)
+		rmv_note(&r, "d");
+	rmv_stamp(&r, 20);
+	EXPECT_EQ(r.ids->len, (guint)RMV_MOST);
+	EXPECT_FALSE(rmv_covers(&r, 14)) << "the oldest are forgotten";
+	EXPECT_TRUE(rmv_covers(&r, 15));
+	rmv_clear(&r);
+}
+
 TEST(Servers, AWholeListShowsWhoIsGone)
 {
 	Servers s;
