exchange: choose a server in a file of its own

Cause: servers.c had grown to 646 lines with the filling of new servers; it held the table, what is learnt of a server, and the choice.

--- a/bench/route-slopes.c
+++ b/bench/route-slopes.c
@@ -11,6 +11,7 @@
 
 #include "exchange/loads.h"
 #include "exchange/routes.h"
+#include "exchange/pick.h"
 #include "exchange/servers.h"
 #include "rollout/shift.h"
 
@@ -70,7 +71,7 @@
 	rng_seed(&rng, 1);
 	for (int p = 0; p < POINTS; p++) {
 		struct svt t;
-		struct svt_wish w = {.service = "engines",
+		struct pck_wish w = {.service = "engines",
 				     .zone = "a",
 				     .weight = 1,
 				     .affinity = 1,
@@ -83,7 +84,7 @@
 		start = cpu_us();
 		for (int i = 0; i < rounds; i++) {
 			w.affinity = rng_next(&rng);
-			svt_pick(&t, 1, &w, &rng);
+			pck_server(&t, 1, &w, &rng);
 		}
 		us[p] = (cpu_us() - start) / rounds;
 		svt_clear(&t);
--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -530,7 +530,7 @@
 	}
 	INVARIANT(x->server->state == SVT_READY,
 		  "exchange: no new work for a leaving server");
-	if (x->n_tried < SVT_MAX_TRIED)
+	if (x->n_tried < PCK_MAX_TRIED)
 		x->tried[x->n_tried++] = x->server->hash;
 	rty_begin(&x->retry, &x->answer);
 	g_string_truncate(x->body, 0);
--- a/exchange/exchange.h
+++ b/exchange/exchange.h
@@ -2,6 +2,7 @@
 #define EXCHANGE_EXCHANGE_H
 
 #include "daemon/gateway.h"
+#include "exchange/pick.h"
 #include "exchange/events.h"
 #include "exchange/prompt.h"
 #include "exchange/retry.h"
@@ -24,7 +25,7 @@
 	const char *model; /* of `routes`, chosen by us; NULL: the client's */
 	size_t model_index;
 	struct rty retry;
-	uint64_t tried[SVT_MAX_TRIED];
+	uint64_t tried[PCK_MAX_TRIED];
 	uint32_t n_tried;
 
 	/* the attempt under way */
--- /dev/null
+++ b/exchange/pick.h
@@ -0,0 +1,52 @@
+#ifndef EXCHANGE_PICK_H
+#define EXCHANGE_PICK_H
+
+#include "exchange/servers.h"
+
+/*
+ * Chooses the server of a request: the one with the shortest expected delay
+ * for model requests, the least loaded one for others.
+ */
+#define PCK_MAX_TRIED 8
+
+/* Which versions a request may use. */
+enum pck_versions {
+	PCK_ANY_VERSION,
+	PCK_ONLY, /* `version` */
+	PCK_NOT, /* any but `version` */
+};
+
+struct pck_wish {
+	const char *service;
+	const char *zone; /* of this node */
+	enum pck_versions versions;
+	const char *version;
+	uint64_t affinity; /* hash of the shared part of the prompt; 0: none */
+	uint32_t shared_tokens; /* of the prompt up to it */
+	uint32_t input_tokens; /* of the whole prompt */
+	double weight; /* of the model, 0 to 1; 0: no model request */
+	double fill; /* fill servers one by one to this share of their slots */
+	double fill_ms; /* the same to this much work that waits, in ms */
+	uint64_t fill_order; /* changes which is filled first */
+	uint32_t most_in_flight; /* of this node at one server; 0: any */
+	uint64_t tried[PCK_MAX_TRIED]; /* hashes of their ids */
+	uint32_t n_tried;
+};
+
+/* What a model request may expect at the server that suits it best. */
+struct pck_outlook {
+	double first_ms; /* to the first event */
+	double event_ms; /* between two events */
+};
+
+double pck_mean_work(const struct svt *t, const char *service,
+		     const char *but_version);
+struct svt_work pck_work_of(const struct svt *t, uint64_t now,
+			    const struct pck_wish *wish,
+			    const struct svt_server *s);
+struct pck_outlook pck_expect(struct svt *t, uint64_t now,
+			      const struct pck_wish *wish);
+struct svt_server *pck_server(struct svt *t, uint64_t now,
+			      const struct pck_wish *wish, struct rng *rng);
+
+#endif
--- a/exchange/place-task.c
+++ b/exchange/place-task.c
@@ -43,19 +43,19 @@
  * times compare; later a few as far as they go, to see errors under load.
  */
 static void load_new(struct exc *x, const struct sft *s, uint64_t now,
-		     struct svt_wish *wish)
+		     struct pck_wish *wish)
 {
 	x->fills = sft_fills(s);
 	if (x->fills) {
 		wish->fill = SFT_FILL;
 		return;
 	}
-	wish->fill_ms = svt_mean_work(&x->g->servers, wish->service, s->target);
+	wish->fill_ms = pck_mean_work(&x->g->servers, wish->service, s->target);
 	wish->fill_order = sft_age(s, now) / SFT_TURN_MS + 1;
 }
 
 /* Chooses between old and new servers while a roll-out is known. */
-static void choose_version(struct exc *x, uint64_t now, struct svt_wish *wish)
+static void choose_version(struct exc *x, uint64_t now, struct pck_wish *wish)
 {
 	const struct sft *s = sht_find(x->g->shifts, x->service);
 	uint64_t hash = x->session ? x->session : rng_next(&x->g->rng);
@@ -67,7 +67,7 @@
 		x->version = sft_choose(s, now, hash, seen_on(x, s, now));
 	x->sent_by_shift = true;
 	wish->version = s->target;
-	wish->versions = x->version == SFT_NEW ? SVT_ONLY : SVT_NOT;
+	wish->versions = x->version == SFT_NEW ? PCK_ONLY : PCK_NOT;
 	if (x->version == SFT_NEW && sft_is_trial(s) && wish->weight > 0)
 		load_new(x, s, now, wish);
 }
@@ -95,9 +95,9 @@
 }
 
 /* What is wanted of a server for an attempt with that model. */
-static struct svt_wish wish_of(struct exc *x, uint64_t now, size_t model)
+static struct pck_wish wish_of(struct exc *x, uint64_t now, size_t model)
 {
-	struct svt_wish wish = {
+	struct pck_wish wish = {
 		.service = x->service,
 		.zone = x->g->settings->zone,
 		.affinity = affinity_of(x, model),
@@ -120,8 +120,8 @@
  */
 double exc_chance_on_time(struct exc *x, uint64_t now, size_t model)
 {
-	struct svt_wish wish = wish_of(x, now, model);
-	struct svt_outlook o = svt_expect(&x->g->servers, now, &wish);
+	struct pck_wish wish = wish_of(x, now, model);
+	struct pck_outlook o = pck_expect(&x->g->servers, now, &wish);
 	double passed = (double)(now - x->started_at);
 	double whole_ms =
 		o.first_ms + o.event_ms * LONG_STREAM *
@@ -149,20 +149,21 @@
  */
 struct svt_server *exc_pick(struct exc *x, uint64_t now)
 {
-	struct svt_wish wish = wish_of(x, now, x->model_index);
-	struct svt_server *s = svt_pick(&x->g->servers, now, &wish, &x->g->rng);
+	struct pck_wish wish = wish_of(x, now, x->model_index);
+	struct svt_server *s =
+		pck_server(&x->g->servers, now, &wish, &x->g->rng);
 
 	if (!s && may_ask_again(x)) {
 		wish.n_tried = 0;
-		s = svt_pick(&x->g->servers, now, &wish, &x->g->rng);
+		s = pck_server(&x->g->servers, now, &wish, &x->g->rng);
 	}
-	if (!s && wish.versions != SVT_ANY_VERSION && may_use_other(x)) {
+	if (!s && wish.versions != PCK_ANY_VERSION && may_use_other(x)) {
 		x->version = x->version == SFT_NEW ? SFT_OLD : SFT_NEW;
-		wish.versions = x->version == SFT_NEW ? SVT_ONLY : SVT_NOT;
+		wish.versions = x->version == SFT_NEW ? PCK_ONLY : PCK_NOT;
 		wish.fill = 0;
-		s = svt_pick(&x->g->servers, now, &wish, &x->g->rng);
+		s = pck_server(&x->g->servers, now, &wish, &x->g->rng);
 	}
 	if (s)
-		x->work = svt_work_of(&x->g->servers, now, &wish, s);
+		x->work = pck_work_of(&x->g->servers, now, &wish, s);
 	return s;
 }
--- a/exchange/servers.h
+++ b/exchange/servers.h
@@ -13,7 +13,6 @@
  */
 #define SVT_EJECT_FIRST_MS 400
 #define SVT_EJECT_MAX_MS 6000
-#define SVT_MAX_TRIED 8
 #define SVT_LOAD_FRESH_MS 1500
 
 enum svt_state {
@@ -86,34 +85,8 @@
 	SVT_NEUTRAL,
 };
 
-/* Which versions a request may use. */
-enum svt_versions {
-	SVT_ANY_VERSION,
-	SVT_ONLY, /* `version` */
-	SVT_NOT, /* any but `version` */
-};
-
-struct svt_wish {
-	const char *service;
-	const char *zone; /* of this node */
-	enum svt_versions versions;
-	const char *version;
-	uint64_t affinity; /* hash of the shared part of the prompt; 0: none */
-	uint32_t shared_tokens; /* of the prompt up to it */
-	uint32_t input_tokens; /* of the whole prompt */
-	double weight; /* of the model, 0 to 1; 0: no model request */
-	double fill; /* fill servers one by one to this share of their slots */
-	double fill_ms; /* the same to this much work that waits, in ms */
-	uint64_t fill_order; /* changes which is filled first */
-	uint32_t most_in_flight; /* of this node at one server; 0: any */
-	uint64_t tried[SVT_MAX_TRIED]; /* hashes of their ids */
-	uint32_t n_tried;
-};
-
 void svt_init(struct svt *t);
 void svt_clear(struct svt *t);
-double svt_mean_work(const struct svt *t, const char *service,
-		     const char *but_version);
 struct svt_server *svt_find(const struct svt *t, const char *id);
 struct svt_server *svt_put(struct svt *t, uint64_t now,
 			   const struct svt_entry *entry);
@@ -123,8 +96,6 @@
 void svt_sweep(struct svt *t);
 uint64_t svt_digest(const struct svt *t);
 
-struct svt_server *svt_pick(struct svt *t, uint64_t now,
-			    const struct svt_wish *wish, struct rng *rng);
 double svt_load(const struct svt_server *s, uint64_t now);
 /* What a model request adds to its server's load. */
 struct svt_work {
@@ -133,17 +104,6 @@
 	double prefill; /* 0 once its first event is here */
 };
 
-struct svt_work svt_work_of(const struct svt *t, uint64_t now,
-			    const struct svt_wish *wish,
-			    const struct svt_server *s);
-/* What a model request may expect at the server that suits it best. */
-struct svt_outlook {
-	double first_ms; /* to the first event */
-	double event_ms; /* between two events */
-};
-
-struct svt_outlook svt_expect(struct svt *t, uint64_t now,
-			      const struct svt_wish *wish);
 void svt_on_first(struct svt *t, const struct svt_work *work, double first_ms);
 void svt_on_work(struct svt_server *s, const struct svt_work *work);
 void svt_on_read(struct svt_server *s, struct svt_work *work);
--- a/t/unit/exchange_test.cc
+++ b/t/unit/exchange_test.cc
@@ -16,6 +16,7 @@
 #include "exchange/removals.h"
 #include "exchange/retry.h"
 #include "exchange/routes.h"
+#include "exchange/pick.h"
 #include "exchange/servers.h"
 }
 
@@ -395,11 +396,11 @@
 			       draining, revision};
 		return svt_put(&t, 0, &e);
 	}
-	const char *pick(svt_wish w, uint64_t now = 0)
+	const char *pick(pck_wish w, uint64_t now = 0)
 	{
 		w.service = "s";
 		w.zone = "z1";
-		svt_server *s = svt_pick(&t, now, &w, &r);
+		svt_server *s = pck_server(&t, now, &w, &r);
 		return s ? s->id : "none";
 	}
 };
@@ -467,7 +468,7 @@
 {
 	Servers s;
 	svt_server *a = s.put("a");
-	svt_wish w = {};
+	pck_wish w = {};
 	w.most_in_flight = 2;
 	svt_on_start(a);
 	EXPECT_STREQ(s.pick(w), "a");
@@ -480,11 +481,11 @@
 	Servers s;
 	s.put("old", "z1", "v1");
 	s.put("new", "z1", "v2");
-	svt_wish w = {};
+	pck_wish w = {};
 	w.version = "v2";
-	w.versions = SVT_ONLY;
+	w.versions = PCK_ONLY;
 	EXPECT_STREQ(s.pick(w), "new");
-	w.versions = SVT_NOT;
+	w.versions = PCK_NOT;
 	EXPECT_STREQ(s.pick(w), "old");
 }
 
@@ -494,9 +495,9 @@
 	for (const char *id : {"a", "b", "c"})
 		s.put(id, "z1", "v2");
 	s.put("old", "z1", "v1");
-	svt_wish w = {};
+	pck_wish w = {};
 	w.version = "v2";
-	w.versions = SVT_ONLY;
+	w.versions = PCK_ONLY;
 	w.fill = 0.75;
 	const char *first = s.pick(w);
 	for (int i = 0; i < 6; i++) {
@@ -515,15 +516,15 @@
 	svt_server *old = s.put("old", "z1", "v1");
 	svt_on_work(old, &work);
 	svt_on_work(old, &work);
-	svt_wish w = {};
+	pck_wish w = {};
 	w.weight = 1;
 	w.input_tokens = 1000;
 	w.version = "v2";
-	w.versions = SVT_ONLY;
-	w.fill_ms = svt_mean_work(&s.t, "s", "v2");
+	w.versions = PCK_ONLY;
+	w.fill_ms = pck_mean_work(&s.t, "s", "v2");
 	w.fill_order = 1;
 	EXPECT_GT(w.fill_ms, 0);
-	EXPECT_DOUBLE_EQ(svt_mean_work(&s.t, "other", "v2"), 0);
+	EXPECT_DOUBLE_EQ(pck_mean_work(&s.t, "other", "v2"), 0);
 	std::string first = s.pick(w);
 	for (int i = 0; i < 3; i++) {
 		ASSERT_EQ(s.pick(w), first) << i;
@@ -537,7 +538,7 @@
 	Servers s;
 	for (const char *id : {"a", "b", "c"})
 		s.put(id);
-	svt_wish w = {};
+	pck_wish w = {};
 	w.fill = 0.5;
 	std::set<std::string> first;
 	for (w.fill_order = 1; w.fill_order < 20; w.fill_order++)
@@ -575,7 +576,7 @@
 	Servers s;
 	svt_server *a = s.put("a"), *b = s.put("b");
 	svt_work work = {0, 1, 20000};
-	svt_wish w = {};
+	pck_wish w = {};
 	w.weight = 1;
 	w.input_tokens = 1000;
 	svt_on_work(a, &work);
@@ -589,15 +590,15 @@
 {
 	Servers s;
 	s.put("a");
-	svt_wish w = {};
+	pck_wish w = {};
 	w.service = "s";
 	w.weight = 1;
 	w.input_tokens = 10000;
-	double before = svt_expect(&s.t, 0, &w).first_ms;
-	svt_work work = svt_work_of(&s.t, 0, &w, svt_find(&s.t, "a"));
+	double before = pck_expect(&s.t, 0, &w).first_ms;
+	svt_work work = pck_work_of(&s.t, 0, &w, svt_find(&s.t, "a"));
 	for (int i = 0; i < 100; i++)
 		svt_on_first(&s.t, &work, 3 * work.expected_ms);
-	EXPECT_NEAR(svt_expect(&s.t, 0, &w).first_ms, 3 * before, before / 10);
+	EXPECT_NEAR(pck_expect(&s.t, 0, &w).first_ms, 3 * before, before / 10);
 }
 
 TEST(Servers, SharedPartsGoHomeWhileItIsNotBusy)
@@ -605,7 +606,7 @@
 	Servers s;
 	for (int i = 0; i < 8; i++)
 		s.put(("s" + std::to_string(i)).c_str());
-	svt_wish w = {};
+	pck_wish w = {};
 	w.weight = 1;
 	w.affinity = 77;
 	w.shared_tokens = 5000;
