exchange: the other version's servers are not filled in turns

Cause: read as a newcomer: where the chosen version has no server and the other one serves, the wish kept the trial's way of loading servers, so that old servers would get requests one after the other up to their mean work.

Change: the wish and the request's mark are cleared with the version.

--- a/exchange/place-task.c
+++ b/exchange/place-task.c
@@ -161,6 +161,8 @@
 		x->version = x->version == SFT_NEW ? SFT_OLD : SFT_NEW;
 		wish.versions = x->version == SFT_NEW ? PCK_ONLY : PCK_NOT;
 		wish.fill = 0;
+		wish.fill_ms = 0;
+		x->fills = false;
 		s = pck_server(&x->g->servers, now, &wish, &x->g->rng);
 	}
 	if (s)
