t: a stalled reader of standard output delays no request

Change: t0016: 3,000 requests while nobody reads the node's log, none over a second; then the reader gets the lines kept and E112 with the number lost.

A mutant with a blocking output makes the test hang instead of fail quickly; it is not in mutants.list.

--- /dev/null
+++ b/t/t0016-stalled-log.sh
@@ -0,0 +1,38 @@
+#!/usr/bin/env bash
+# A reader of standard output that stops reading costs log lines, counted and
+# told of when it reads again, and delays no request.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+BASE=${BASE:-27000}
+. t/lib.sh
+. t/lib-routes.sh
+COUNT=3000
+
+start_objects
+start_backend 1 desk
+configure 3
+mkfifo "$WORK/pipe"
+exec 8<>"$WORK/pipe"
+file=$(route_settings 1)
+"$BUILD/chivegwd" --settings "$file" >"$WORK/pipe" 2>&1 &
+PIDS[route1]=$!
+route_ready 1
+
+say "$COUNT requests while nobody reads"
+timeout 20 curl -s -m 60 -o /dev/null -w '%{http_code} %{time_total}\n' \
+	-H "Host: $HOST" -H "Authorization: Token $ROUTE_KEY" \
+	-H 'X-Chivegw-Request-Id: stalled' -H 'X-Chivegw-Deadline-Ms: 2000' \
+	"http://$(caller 1)/read/ok?n=[1-$COUNT]" >"$WORK/times"
+expect "answers" "$COUNT" "$(grep -c '^200 ' "$WORK/times")"
+slow=$(awk '$2 > 1 {n++} END {print n + 0}' "$WORK/times")
+expect "requests over a second" 0 "$slow"
+
+say "the reader comes back"
+timeout 2 cat "$WORK/pipe" >"$WORK/read.log"
+expect "another answer" 200 "$(send 1 GET /read/ok)"
+timeout 2 cat "$WORK/pipe" >>"$WORK/read.log"
+grep -q "E112 log lines dropped: .*[1-9]" "$WORK/read.log" || fail "no word of dropped lines: $(tail -n 3 "$WORK/read.log")"
+lines=$(grep -c ' E700 ' "$WORK/read.log")
+[ "$lines" -gt 100 ] || fail "only $lines lines were kept"
+[ "$lines" -lt "$COUNT" ] || fail "nothing was dropped, the test shows nothing"
+say "ok"
