exchange: find the home of a shared part once a request

Cause, found by reading the change again: choosing a server walked all servers for the home of the prompt's shared part, and pck_work_of() walked them again for the server chosen; home_of() and first_unfilled() were the same loop. The mark that a request fills a server was set by every wish, also by one that only asked for the chance of a larger model, and cleared by hand where the version changed.

Change: pck_server() also gives the work; first_in_order() serves both loops; want_version() sets version and way of loading in one place, and the mark follows from the wish of the server chosen.

--- a/bench/route-slopes.c
+++ b/bench/route-slopes.c
@@ -78,13 +78,14 @@
 				     .shared_tokens = 500,
 				     .input_tokens = 2000};
 		int rounds = 200000 / (int)sizes[p];
+		struct svt_work work;
 		double start;
 
 		fill(&t, (int)sizes[p]);
 		start = cpu_us();
 		for (int i = 0; i < rounds; i++) {
 			w.affinity = rng_next(&rng);
-			pck_server(&t, 1, &w, &rng);
+			pck_server(&t, 1, &w, &rng, &work);
 		}
 		us[p] = (cpu_us() - start) / rounds;
 		svt_clear(&t);
--- a/exchange/pick.c
+++ b/exchange/pick.c
@@ -117,26 +117,47 @@
 	return XXH3_64bits(both, sizeof(both));
 }
 
-/* Returns the server that a shared part belongs to, whatever its load. */
-static struct svt_server *home_of(const struct svt *t, uint64_t now,
-				  const struct pck_wish *w)
+static bool is_filled(const struct svt_server *s, uint64_t now,
+		      const struct pck_wish *w)
 {
-	struct svt_server *home = NULL;
+	if (w->fill > 0)
+		return svt_load(s, now) + 1 > w->fill * s->slots;
+	return work_ms(s) > w->fill_ms;
+}
+
+/*
+ * The first of the candidates, or of those not filled yet, in an order that
+ * is the same at all nodes and differs by key; NULL: none.
+ */
+static struct svt_server *first_in_order(const struct svt *t, uint64_t now,
+					 const struct pck_wish *w, uint64_t key,
+					 bool unfilled)
+{
+	struct svt_server *first = NULL;
 	uint64_t best = 0;
 
 	for (guint i = 0; i < t->all->len; i++) {
 		struct svt_server *s = t->all->pdata[i];
 		uint64_t rank;
 
-		if (!is_candidate(s, now, w, false))
+		if (!is_candidate(s, now, w, false) ||
+		    (unfilled && is_filled(s, now, w)))
 			continue;
-		rank = rank_of(s, w->affinity);
-		if (!home || rank > best) {
-			home = s;
+		rank = rank_of(s, key);
+		if (!first || rank > best) {
+			first = s;
 			best = rank;
 		}
 	}
-	return home;
+	return first;
+}
+
+/* The server that a shared part belongs to, whatever its load; NULL: none. */
+static const struct svt_server *home_of(const struct svt *t, uint64_t now,
+					const struct pck_wish *w)
+{
+	return w->affinity ? first_in_order(t, now, w, w->affinity, false)
+			   : NULL;
 }
 
 static double tokens_to_read(const struct pck_wish *w, bool at_home)
@@ -178,9 +199,9 @@
  * not be read again.
  */
 static struct svt_server *least_delay(struct svt *t, uint64_t now,
-				      const struct pck_wish *w)
+				      const struct pck_wish *w,
+				      const struct svt_server *home)
 {
-	const struct svt_server *home = w->affinity ? home_of(t, now, w) : NULL;
 	struct svt_server *best = NULL;
 	double best_ms = DBL_MAX;
 
@@ -200,15 +221,14 @@
 }
 
 /* Returns what a request adds to the load of the server chosen for it. */
-struct svt_work pck_work_of(const struct svt *t, uint64_t now,
-			    const struct pck_wish *wish,
-			    const struct svt_server *s)
+static struct svt_work work_of(const struct svt *t, uint64_t now,
+			       const struct pck_wish *w,
+			       const struct svt_server *s, bool at_home)
 {
-	bool at_home = wish->affinity && home_of(t, now, wish) == s;
 	struct svt_work work = {
-		.expected_ms = expected_delay(t, s, now, wish, at_home),
-		.weight = wish->weight,
-		.prefill = tokens_to_read(wish, at_home),
+		.expected_ms = expected_delay(t, s, now, w, at_home),
+		.weight = w->weight,
+		.prefill = tokens_to_read(w, at_home),
 	};
 
 	return work;
@@ -221,63 +241,41 @@
 struct pck_outlook pck_expect(struct svt *t, uint64_t now,
 			      const struct pck_wish *wish)
 {
-	struct svt_server *s = least_delay(t, now, wish);
+	const struct svt_server *home = home_of(t, now, wish);
+	const struct svt_server *s = least_delay(t, now, wish, home);
 	struct pck_outlook out = {0, 0};
 
 	if (!s)
 		return out;
-	out.first_ms =
-		t->delay_base +
-		pck_work_of(t, now, wish, s).expected_ms * t->delay_ratio;
+	out.first_ms = t->delay_base +
+		       work_of(t, now, wish, s, s == home).expected_ms *
+			       t->delay_ratio;
 	out.event_ms = wish->weight *
 		       (s->event_ms > 0 ? s->event_ms : t->usual_event_ms);
 	return out;
 }
 
-static bool is_filled(const struct svt_server *s, uint64_t now,
-		      const struct pck_wish *w)
-{
-	if (w->fill > 0)
-		return svt_load(s, now) + 1 > w->fill * s->slots;
-	return work_ms(s) > w->fill_ms;
-}
-
-/* The first server in an order common to all nodes that is not full, or NULL. */
-static struct svt_server *first_unfilled(const struct svt *t, uint64_t now,
-					 const struct pck_wish *w)
-{
-	struct svt_server *first = NULL;
-	uint64_t best = 0;
-
-	for (guint i = 0; i < t->all->len; i++) {
-		struct svt_server *s = t->all->pdata[i];
-		uint64_t rank;
-
-		if (!is_candidate(s, now, w, false) || is_filled(s, now, w))
-			continue;
-		rank = rank_of(s, w->fill_order);
-		if (!first || rank > best) {
-			first = s;
-			best = rank;
-		}
-	}
-	return first;
-}
-
 /*
- * Chooses a server that is ready and was not tried yet, or returns NULL.
- * Ejected ones are used only if there is no other.
+ * Chooses a server that is ready and was not tried yet, or returns NULL; in
+ * work, what the request adds to its load. Ejected ones are used only if there
+ * is no other.
  */
 struct svt_server *pck_server(struct svt *t, uint64_t now,
-			      const struct pck_wish *w, struct rng *rng)
+			      const struct pck_wish *w, struct rng *rng,
+			      struct svt_work *work)
 {
+	const struct svt_server *home = home_of(t, now, w);
 	struct svt_server *s = NULL;
 
 	if (w->fill > 0 || w->fill_ms > 0)
-		s = first_unfilled(t, now, w);
+		s = first_in_order(t, now, w, w->fill_order, true);
 	if (!s && w->weight > 0)
-		s = least_delay(t, now, w);
+		s = least_delay(t, now, w, home);
 	if (!s)
 		s = least_loaded(t, now, w, false, rng);
-	return s ? s : least_loaded(t, now, w, true, rng);
+	if (!s)
+		s = least_loaded(t, now, w, true, rng);
+	if (s)
+		*work = work_of(t, now, w, s, s == home);
+	return s;
 }
--- a/exchange/pick.h
+++ b/exchange/pick.h
@@ -41,12 +41,10 @@
 
 double pck_mean_work(const struct svt *t, const char *service,
 		     const char *but_version);
-struct svt_work pck_work_of(const struct svt *t, uint64_t now,
-			    const struct pck_wish *wish,
-			    const struct svt_server *s);
 struct pck_outlook pck_expect(struct svt *t, uint64_t now,
 			      const struct pck_wish *wish);
 struct svt_server *pck_server(struct svt *t, uint64_t now,
-			      const struct pck_wish *wish, struct rng *rng);
+			      const struct pck_wish *wish, struct rng *rng,
+			      struct svt_work *work);
 
 #endif
--- a/exchange/place-task.c
+++ b/exchange/place-task.c
@@ -42,11 +42,10 @@
  * A trial loads few new servers as much as the old ones are, in turns, so that
  * times compare; later a few as far as they go, to see errors under load.
  */
-static void load_new(struct exc *x, const struct sft *s, uint64_t now,
+static void load_new(const struct exc *x, const struct sft *s, uint64_t now,
 		     struct pck_wish *wish)
 {
-	x->fills = sft_fills(s);
-	if (x->fills) {
+	if (sft_fills(s)) {
 		wish->fill = SFT_FILL;
 		return;
 	}
@@ -54,34 +53,38 @@
 	wish->fill_order = sft_age(s, now) / SFT_TURN_MS + 1;
 }
 
+/* Wants a server of the version chosen, by the way in which it is loaded. */
+static void want_version(const struct exc *x, const struct sft *s, uint64_t now,
+			 struct pck_wish *wish)
+{
+	wish->version = s->target;
+	wish->versions = x->version == SFT_NEW ? PCK_ONLY : PCK_NOT;
+	wish->fill = 0;
+	wish->fill_ms = 0;
+	if (x->version == SFT_NEW && sft_is_trial(s) && wish->weight > 0)
+		load_new(x, s, now, wish);
+}
+
 /* Chooses between old and new servers while a roll-out is known. */
 static void choose_version(struct exc *x, uint64_t now, struct pck_wish *wish)
 {
 	const struct sft *s = sht_find(x->g->shifts, x->service);
 	uint64_t hash = x->session ? x->session : rng_next(&x->g->rng);
 
-	x->fills = false;
 	if (!s)
 		return;
 	if (!x->sent_by_shift || s->plan.state != SFT_TRIAL)
 		x->version = sft_choose(s, now, hash, seen_on(x, s, now));
 	x->sent_by_shift = true;
-	wish->version = s->target;
-	wish->versions = x->version == SFT_NEW ? PCK_ONLY : PCK_NOT;
-	if (x->version == SFT_NEW && sft_is_trial(s) && wish->weight > 0)
-		load_new(x, s, now, wish);
+	want_version(x, s, now, wish);
 }
 
 /*
  * The other version serves where the chosen one has no server at all, but for
  * a new one that is on trial or failed.
  */
-static bool may_use_other(const struct exc *x)
+static bool may_use_other(const struct exc *x, const struct sft *s)
 {
-	const struct sft *s = sht_find(x->g->shifts, x->service);
-
-	if (!s)
-		return false;
 	return x->version == SFT_NEW || s->plan.state == SFT_COMPLETED;
 }
 
@@ -149,23 +152,21 @@
  */
 struct svt_server *exc_pick(struct exc *x, uint64_t now)
 {
+	struct svt *servers = &x->g->servers;
+	struct rng *rng = &x->g->rng;
 	struct pck_wish wish = wish_of(x, now, x->model_index);
-	struct svt_server *s =
-		pck_server(&x->g->servers, now, &wish, &x->g->rng);
+	const struct sft *shift = sht_find(x->g->shifts, x->service);
+	struct svt_server *s = pck_server(servers, now, &wish, rng, &x->work);
 
 	if (!s && may_ask_again(x)) {
 		wish.n_tried = 0;
-		s = pck_server(&x->g->servers, now, &wish, &x->g->rng);
+		s = pck_server(servers, now, &wish, rng, &x->work);
 	}
-	if (!s && wish.versions != PCK_ANY_VERSION && may_use_other(x)) {
+	if (!s && shift && may_use_other(x, shift)) {
 		x->version = x->version == SFT_NEW ? SFT_OLD : SFT_NEW;
-		wish.versions = x->version == SFT_NEW ? PCK_ONLY : PCK_NOT;
-		wish.fill = 0;
-		wish.fill_ms = 0;
-		x->fills = false;
-		s = pck_server(&x->g->servers, now, &wish, &x->g->rng);
+		want_version(x, shift, now, &wish);
+		s = pck_server(servers, now, &wish, rng, &x->work);
 	}
-	if (s)
-		x->work = pck_work_of(&x->g->servers, now, &wish, s);
+	x->fills = wish.fill > 0;
 	return s;
 }
--- a/t/unit/exchange_test.cc
+++ b/t/unit/exchange_test.cc
@@ -400,7 +400,8 @@
 	{
 		w.service = "s";
 		w.zone = "z1";
-		svt_server *s = pck_server(&t, now, &w, &r);
+		svt_work work;
+		svt_server *s = pck_server(&t, now, &w, &r, &work);
 		return s ? s->id : "none";
 	}
 };
@@ -595,7 +596,8 @@
 	w.weight = 1;
 	w.input_tokens = 10000;
 	double before = pck_expect(&s.t, 0, &w).first_ms;
-	svt_work work = pck_work_of(&s.t, 0, &w, svt_find(&s.t, "a"));
+	svt_work work;
+	ASSERT_EQ(pck_server(&s.t, 0, &w, &s.r, &work), svt_find(&s.t, "a"));
 	for (int i = 0; i < 100; i++)
 		svt_on_first(&s.t, &work, 3 * work.expected_ms);
 	EXPECT_NEAR(pck_expect(&s.t, 0, &w).first_ms, 3 * before, before / 10);
