exchange: ask for the chance of a larger model only for weak answers

Cause, found by reading the change again: each head of a stream computed what a larger model would take, two walks over all servers, also where the answer was good enough or its model the largest. The retry situation was filled in alike in three places, and roll-outs were looked up twice.

Change: csc_is_enough() is asked first; situation_of() serves all three.

Conclusion: the choice is the same; no check changes.

--- a/exchange/cascade.c
+++ b/exchange/cascade.c
@@ -60,22 +60,31 @@
 }
 
 /*
- * Tells what is to become of an answer, by its model's own opinion of it, 0 to
- * 100, and the chance that one of the largest model comes on time. An answer
- * without an opinion is good enough.
+ * Tells whether an answer is kept whatever a larger model could do, by its
+ * model's own opinion of it, 0 to 100: it is wanted no better, there is no
+ * larger model, or it has no opinion.
+ */
+bool csc_is_enough(const struct csc *c, const struct rts_route *route,
+		   size_t model, const char *confidence)
+{
+	return !confidence || model + 1 >= route->n_models ||
+	       g_ascii_strtod(confidence, NULL) >=
+		       100 * csc_target(c, route->priority);
+}
+
+/*
+ * Tells what is to become of an answer, by that opinion and the chance that one
+ * of the largest model comes on time.
  */
 enum csc_choice csc_judge(const struct csc *c, const struct rts_route *route,
 			  size_t model, const char *confidence, double chance)
 {
-	double wanted = 100 * csc_target(c, route->priority);
-	double opinion;
-
-	if (!confidence || model + 1 >= route->n_models)
-		return CSC_GOOD;
-	opinion = g_ascii_strtod(confidence, NULL);
-	if (opinion >= wanted)
+	if (csc_is_enough(c, route, model, confidence))
 		return CSC_GOOD;
-	return opinion < wanted * chance ? CSC_DROP : CSC_KEEP_LATE;
+	return g_ascii_strtod(confidence, NULL) <
+			       100 * csc_target(c, route->priority) * chance
+		       ? CSC_DROP
+		       : CSC_KEEP_LATE;
 }
 
 /* Returns a choice's name for logs. */
--- a/exchange/cascade.h
+++ b/exchange/cascade.h
@@ -32,6 +32,8 @@
 double csc_target(const struct csc *c, uint32_t priority);
 size_t csc_first(const struct csc *c, const struct rts_route *route);
 double csc_chance(double left_ms, double expected_ms);
+bool csc_is_enough(const struct csc *c, const struct rts_route *route,
+		   size_t model, const char *confidence);
 enum csc_choice csc_judge(const struct csc *c, const struct rts_route *route,
 			  size_t model, const char *confidence, double chance);
 const char *csc_choice_name(enum csc_choice choice);
--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -235,6 +235,19 @@
 		   x->streamed ? 0 : x->head_ms);
 }
 
+static struct rty_situation situation_of(const struct exc *x)
+{
+	const struct rty_situation s = {
+		.now = gwy_now(x->g),
+		.deadline = x->deadline,
+		.begun = x->begun,
+		.client_gone = !x->req,
+		.has_spare = x->spare_status != 0,
+	};
+
+	return s;
+}
+
 static void log_attempt(const struct exc *x, enum hc_end end,
 			enum rty_step step)
 {
@@ -253,13 +266,7 @@
 static void go_on(struct exc *x, enum hc_end end)
 {
 	struct gwy *g = x->g;
-	struct rty_situation s = {
-		.now = gwy_now(g),
-		.deadline = x->deadline,
-		.begun = x->begun,
-		.client_gone = !x->req,
-		.has_spare = x->spare_status != 0,
-	};
+	const struct rty_situation s = situation_of(x);
 	enum rty_step step = rty_after(&x->retry, &x->answer, &s);
 
 	if (step == RTY_AGAIN && x->answer.result != RTY_UNSENT &&
@@ -336,8 +343,7 @@
 				     double chance)
 {
 	struct gwy *g = x->g;
-	const struct rty_situation s = {.now = gwy_now(g),
-					.deadline = x->deadline};
+	const struct rty_situation s = situation_of(x);
 	enum csc_choice choice = csc_judge(&g->cascade, x->route,
 					   x->model_index, confidence, chance);
 
@@ -360,19 +366,19 @@
 	size_t largest;
 	double chance;
 
-	if (!x->model || x->begun || !x->req)
+	if (!x->model || x->begun || !x->req ||
+	    csc_is_enough(&x->g->cascade, x->route, x->model_index, confidence))
 		return false;
 	largest = x->route->n_models - 1;
 	chance = exc_chance_on_time(x, gwy_now(x->g), largest);
 	choice = choose_answer(x, confidence, chance);
-	if (choice != CSC_GOOD)
-		lge(LGE_WEAK_ANSWER,
-		    "request=%s model=%s confidence=%s wanted=%.0f larger=%s "
-		    "chance=%.2f tokens=%u ms=%" G_GUINT64_FORMAT " choice=%s",
-		    x->id, x->model, confidence,
-		    100 * csc_target(&x->g->cascade, x->route->priority),
-		    x->route->models[largest], chance, x->prompt.input_tokens,
-		    gwy_now(x->g) - x->started_at, csc_choice_name(choice));
+	lge(LGE_WEAK_ANSWER,
+	    "request=%s model=%s confidence=%s wanted=%.0f larger=%s "
+	    "chance=%.2f tokens=%u ms=%" G_GUINT64_FORMAT " choice=%s",
+	    x->id, x->model, confidence,
+	    100 * csc_target(&x->g->cascade, x->route->priority),
+	    x->route->models[largest], chance, x->prompt.input_tokens,
+	    gwy_now(x->g) - x->started_at, csc_choice_name(choice));
 	if (choice != CSC_DROP)
 		return false;
 	x->model_index = largest;
@@ -507,11 +513,8 @@
 static void attempt(struct exc *x)
 {
 	uint64_t now = gwy_now(x->g);
-	struct rty_situation s = {.now = now,
-				  .deadline = x->deadline,
-				  .begun = x->begun,
-				  .client_gone = !x->req,
-				  .has_spare = x->spare_status != 0};
+	struct sft *shift;
+	const struct rty_situation s = situation_of(x);
 
 	INVARIANT(rty_may_send(&x->retry),
 		  "exchange: no second send of what may have run");
@@ -543,8 +546,9 @@
 	svt_on_work(x->server, &x->work);
 	x->begin_load = svt_load(x->server, now);
 	x->server_version = g_intern_string(x->server->version);
-	if (x->sent_by_shift && sht_find(x->g->shifts, x->service))
-		sft_on_sent(sht_find(x->g->shifts, x->service), x->version);
+	shift = sht_find(x->g->shifts, x->service);
+	if (shift && x->sent_by_shift)
+		sft_on_sent(shift, x->version);
 	if (x->route->kind == RTS_STREAMING)
 		sht_note_session(x->g->shifts, now, x->service, x->session,
 				 x->server->version);
@@ -620,12 +624,14 @@
 {
 	struct exc *x = new_exchange(g, req, route, org, id);
 	rts_handle service = rts_split(route, rng_next(&g->rng));
+	struct sft *shift;
 
 	x->service = g->routes->services[service].name;
 	choose_model(x);
 	bud_on_request(&g->budget, gwy_now(g), x->service);
-	if (sht_find(g->shifts, x->service))
-		sft_on_request(sht_find(g->shifts, x->service));
+	shift = sht_find(g->shifts, x->service);
+	if (shift)
+		sft_on_request(shift);
 	hs_watch_gone(req, on_gone, x);
 	attempt(x);
 }
