exchange: note removals where servers are removed

Cause, found by reading the change again: the gateway noted each removal beside the call that made it, and walked all servers at the end of a list by the same test as svt_end_list() right after it.

Change: the table of servers keeps its removals; both ways of removing one go through remove_server(). Two fields that nobody read (seen_at, plan_at) go.

Conclusion: the same removals are told; unit-exchange_test and t0012 cover them.

--- a/daemon/gateway.c
+++ b/daemon/gateway.c
@@ -149,21 +149,10 @@
 	struct gwy *g = user;
 
 	g->changed[FED_SERVERS] = MAX(g->changed[FED_SERVERS], revision);
-	if (!svt_remove(&g->servers, id, revision))
-		return;
-	rmv_note(&g->removals, id);
-	lge(LGE_SERVER_CHANGED, "server=%s to=gone revision=%" G_GUINT64_FORMAT,
-	    id, revision);
-}
-
-static void note_unlisted(struct gwy *g)
-{
-	for (guint i = 0; i < g->servers.all->len; i++) {
-		const struct svt_server *s = g->servers.all->pdata[i];
-
-		if (!s->listed && s->state != SVT_GONE)
-			rmv_note(&g->removals, s->id);
-	}
+	if (svt_remove(&g->servers, id, revision))
+		lge(LGE_SERVER_CHANGED,
+		    "server=%s to=gone revision=%" G_GUINT64_FORMAT, id,
+		    revision);
 }
 
 static void on_list(void *user, enum fed_topic topic, bool ended)
@@ -176,7 +165,6 @@
 		svt_begin_list(&g->servers);
 		return;
 	}
-	note_unlisted(g);
 	lge(LGE_SERVERS_LISTED, "servers=%u gone=%u", g->servers.all->len,
 	    svt_end_list(&g->servers));
 }
@@ -203,7 +191,7 @@
 	g->as_of[topic] = MAX(g->as_of[topic], revision);
 	g->listed[topic] = true;
 	if (topic == FED_SERVERS)
-		rmv_stamp(&g->removals, revision);
+		rmv_stamp(&g->servers.removals, revision);
 	note_ready(g);
 	if (gwy_knows_all(g))
 		exc_on_ready(g);
@@ -459,7 +447,6 @@
 	stat(path, &settings_stat);
 	g->http = hc_new(g->loop);
 	svt_init(&g->servers);
-	rmv_init(&g->removals);
 	lds_init(&g->loads);
 	len_init(&g->lengths);
 	g->early = g_ptr_array_new();
--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -14,7 +14,6 @@
 #include "exchange/loads.h"
 #include "exchange/names.h"
 #include "exchange/routes.h"
-#include "exchange/removals.h"
 #include "exchange/servers.h"
 #include "histogram.h"
 #include "http/client.h"
@@ -47,7 +46,6 @@
 	struct rts *routes; /* in force; NULL: none yet */
 	struct json_object *doc; /* of which `routes` was made */
 	struct svt servers;
-	struct rmv removals; /* of servers */
 	struct lds loads;
 	struct len lengths;
 	GPtrArray *early; /* requests that came before all was known */
--- a/exchange/servers.c
+++ b/exchange/servers.c
@@ -42,6 +42,7 @@
 	t->delay_ratio = 1;
 	t->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	t->all = g_ptr_array_new_with_free_func(free_server);
+	rmv_init(&t->removals);
 }
 
 /* Frees all servers. */
@@ -49,6 +50,7 @@
 {
 	g_hash_table_unref(t->by_id);
 	g_ptr_array_unref(t->all);
+	rmv_clear(&t->removals);
 }
 
 /* Returns the server with that id, or NULL. */
@@ -105,8 +107,6 @@
 	else if (s->state != SVT_READY ||
 		 g_strcmp0(s->address, entry->address) != 0)
 		forget_past(s);
-	if (g_strcmp0(s->version, entry->version) != 0)
-		s->seen_at = now;
 	set_text(&s->service, entry->service);
 	set_text(&s->address, entry->address);
 	set_text(&s->zone, entry->zone);
@@ -119,6 +119,12 @@
 	return s;
 }
 
+static void remove_server(struct svt *t, struct svt_server *s)
+{
+	s->state = SVT_GONE;
+	rmv_note(&t->removals, s->id);
+}
+
 /*
  * A server's entry is gone as of a revision, 0 if that is not known. Returns
  * whether it was there; an older word than the entry's own changes nothing.
@@ -129,7 +135,7 @@
 
 	if (!s || s->state == SVT_GONE || (revision && revision < s->revision))
 		return false;
-	s->state = SVT_GONE;
+	remove_server(t, s);
 	return true;
 }
 
@@ -150,7 +156,7 @@
 
 		if (s->listed || s->state == SVT_GONE)
 			continue;
-		s->state = SVT_GONE;
+		remove_server(t, s);
 		gone++;
 	}
 	return gone;
--- a/exchange/servers.h
+++ b/exchange/servers.h
@@ -5,6 +5,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "exchange/removals.h"
 #include "rng.h"
 
 /*
@@ -45,7 +46,6 @@
 	uint64_t cold_until;
 	enum svt_state state;
 	uint64_t revision;
-	uint64_t seen_at; /* when its version was first seen */
 	uint32_t in_flight; /* of this node */
 	uint32_t others_in_flight; /* of the other nodes, as they told */
 	double decode; /* weights of this node's model requests there */
@@ -70,6 +70,7 @@
 struct svt {
 	GHashTable *by_id; /* id -> struct svt_server */
 	GPtrArray *all;
+	struct rmv removals;
 	double usual_ms; /* mean time to the head of plain answers */
 	double usual_event_ms; /* of all servers */
 	double delay_base; /* ms to a first event at an idle server */
--- a/fleet/state-task.c
+++ b/fleet/state-task.c
@@ -90,9 +90,9 @@
 {
 	struct json_object *list = json_object_new_array();
 
-	for (guint i = rmv_first_after(&g->removals, since);
-	     i < g->removals.ids->len; i++) {
-		const char *id = g->removals.ids->pdata[i];
+	for (guint i = rmv_first_after(&g->servers.removals, since);
+	     i < g->servers.removals.ids->len; i++) {
+		const char *id = g->servers.removals.ids->pdata[i];
 		const struct svt_server *s = svt_find(&g->servers, id);
 
 		if (!s || s->state == SVT_GONE)
@@ -107,7 +107,8 @@
 {
 	uint64_t since = number_after(path, "servers=");
 
-	if (!strstr(path, CHANGES_ONLY) || !rmv_covers(&g->removals, since))
+	if (!strstr(path, CHANGES_ONLY) ||
+	    !rmv_covers(&g->servers.removals, since))
 		since = 0;
 	json_object_object_add(o, "servers", servers_json(&g->servers, since));
 	if (since)
--- a/rollout/shift.c
+++ b/rollout/shift.c
@@ -204,7 +204,6 @@
 	if (s->plan.state != SFT_TRIAL)
 		return;
 	s->plan = *plan;
-	s->plan_at = now;
 	if (plan->share == SFT_WHOLE && !s->whole_since)
 		s->whole_since = now;
 	sft_settle(s, plan->state);
--- a/rollout/shift.h
+++ b/rollout/shift.h
@@ -119,7 +119,6 @@
 	struct sft_test tests[SFT_MAX_ROUTES];
 	uint32_t n_tests;
 	struct sft_plan plan; /* in force */
-	uint64_t plan_at;
 	uint64_t whole_since; /* when the share became whole; 0: not yet */
 	const char *why; /* respect in which it failed, or NULL */
 };
