--- a/exchange/lengths.c
+++ b/exchange/lengths.c
@@ -9,12 +9,6 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
-/* Frees what was seen. */
-void len_clear(struct len *l)
-{
-	g_hash_table_unref(l->routes);
-}
-
 /* A whole stream of the route had that many events. */
 void len_note(struct len *l, const char *route, uint64_t events)
 {
--- a/exchange/lengths.h
+++ b/exchange/lengths.h
@@ -10,7 +10,6 @@
 };
 
 void len_init(struct len *l);
-void len_clear(struct len *l);
 void len_note(struct len *l, const char *route, uint64_t events);
 double len_mean(const struct len *l, const char *route);
 
