explain: add beliefs to the story at once

Cause, found by reading the change again: they were copied to a list first and from there to the story, which nothing reads meanwhile.

Conclusion: the same story; t0014 covers it.

--- a/builtin/explain-log.c
+++ b/builtin/explain-log.c
@@ -199,7 +199,6 @@
 	const struct line *last = story->pdata[story->len - 1];
 	g_autoptr(GHashTable) known =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	g_autoptr(GPtrArray) beliefs = g_ptr_array_new();
 	GHashTableIter it;
 	void *l;
 
@@ -214,9 +213,7 @@
 	}
 	g_hash_table_iter_init(&it, known);
 	while (g_hash_table_iter_next(&it, NULL, &l))
-		g_ptr_array_add(beliefs, l);
-	for (guint i = 0; i < beliefs->len; i++)
-		g_ptr_array_add(story, beliefs->pdata[i]);
+		g_ptr_array_add(story, l);
 	g_ptr_array_sort(story, by_time);
 }
 
