member: send to peers and log changes of members in one place

Cause, found by reading the change again: fleet-task.c repeated what member-task.c does to send messages over UDP and to log changed counts of members.

Change: peer-task.c serves both tasks.

Conclusion: no message and no line changes; a member task now hears of a change after its line was logged, not before.

--- a/fleet/fleet-task.c
+++ b/fleet/fleet-task.c
@@ -9,8 +9,7 @@
 #include "daemon/gateway.h"
 #include "fleet/state-task.h"
 #include "http/address.h"
-#include "log-event.h"
-#include "member/member.h"
+#include "member/peer-task.h"
 #include "platform/feed-task.h"
 #include "rollout/shift-task.h"
 #include "wire/codec.h"
@@ -42,42 +41,18 @@
 	uint64_t source_heard_at; /* of a node whose source answers */
 	uint64_t unlike_since; /* what such a node knows is not known here */
 	uint64_t behind_since[FED_TOPICS]; /* others know more; 0: they don't */
-	uint32_t alive; /* counts last logged */
-	uint32_t suspect;
+	struct per_logged logged;
 };
 
 static void send_bytes(struct flt *t, struct mbr_addr to, const uint8_t *bytes,
 		       size_t len)
 {
-	struct sockaddr_in sa = {.sin_family = AF_INET};
-	uv_buf_t buf = uv_buf_init((char *)bytes, (unsigned int)len);
-
-	if (!len)
-		return;
-	sa.sin_addr.s_addr = htonl(to.ip);
-	sa.sin_port = htons(to.port);
-	if (uv_udp_try_send(&t->socket, &buf, 1, (struct sockaddr *)&sa) > 0)
-		ctr_add(&t->g->ctr, CTR_PEER_BYTES_OUT, len);
+	per_send(&t->socket, &t->g->ctr, to, bytes, len);
 }
 
 static void send_all(struct flt *t, GArray *out)
 {
-	uint8_t bytes[WIR_MAX_BYTES];
-
-	for (guint i = 0; i < out->len; i++) {
-		const struct mbr_out *o =
-			&g_array_index(out, struct mbr_out, i);
-
-		send_bytes(t, o->to, bytes,
-			   wir_encode(&o->msg, t->g->settings->cluster_key,
-				      bytes, sizeof(bytes)));
-	}
-	g_array_free(out, TRUE);
-}
-
-static GArray *new_out(void)
-{
-	return g_array_new(FALSE, FALSE, sizeof(struct mbr_out));
+	per_send_all(&t->socket, &t->g->ctr, t->g->settings->cluster_key, out);
 }
 
 static void tell_head(struct flt *t, uint64_t now)
@@ -89,20 +64,6 @@
 		     g->lost_at[FED_CONFIG] != 0);
 }
 
-static void note_changes(struct flt *t)
-{
-	uint32_t alive = mbr_count(&t->members, MBR_ALIVE);
-	uint32_t suspect = mbr_count(&t->members, MBR_SUSPECT);
-
-	if (alive == t->alive && suspect == t->suspect)
-		return;
-	t->alive = alive;
-	t->suspect = suspect;
-	lge(LGE_MEMBER_CHANGED, "alive=%u suspect=%u leaving=%u dead=%u",
-	    alive + 1, suspect, mbr_count(&t->members, MBR_LEAVING),
-	    mbr_count(&t->members, MBR_DEAD));
-}
-
 /* Greets the nodes named in the settings until enough others are known. */
 static void join(struct flt *t, uint64_t now)
 {
@@ -115,7 +76,7 @@
 	t->join_at = now + JOIN_EVERY_MS;
 	if (mbr_count(&t->members, MBR_ALIVE) >= g_strv_length(list))
 		return;
-	out = new_out();
+	out = per_new_out();
 	for (char **s = list; *s; s++) {
 		struct sockaddr_in sa;
 		struct mbr_addr addr = t->self;
@@ -372,7 +333,7 @@
 /* Does what is due; call it every MBR_ACK_MS / 2. */
 void flt_tick(struct flt *t, uint64_t now)
 {
-	GArray *out = new_out();
+	GArray *out = per_new_out();
 
 	tell_head(t, now);
 	mbr_tick(&t->members, now, out);
@@ -383,7 +344,7 @@
 	tell_loads(t);
 	tell_source(t, now);
 	follow(t, now);
-	note_changes(t);
+	per_log_changes(&t->members, &t->logged);
 }
 
 static void on_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
@@ -406,13 +367,13 @@
 		ctr_add(&g->ctr, CTR_PEER_BAD, 1);
 		return;
 	}
-	out = new_out();
+	out = per_new_out();
 	tell_head(t, now);
 	head = mbr_on_message(&t->members, now, &msg, out);
 	send_all(t, out);
 	if (head.revision > (g->routes ? g->routes->revision : 0))
 		pst_on_newer(g->state, now, msg.from.addr.ip, FED_CONFIG);
-	note_changes(t);
+	per_log_changes(&t->members, &t->logged);
 }
 
 static void on_report(struct flt *t, const uint8_t *bytes, size_t len)
@@ -592,7 +553,7 @@
 /* Tells the others that this node leaves. */
 void flt_leave(struct flt *t)
 {
-	GArray *out = new_out();
+	GArray *out = per_new_out();
 
 	mbr_leave(&t->members, gwy_now(t->g), out);
 	send_all(t, out);
--- a/member/member-task.c
+++ b/member/member-task.c
@@ -8,8 +8,7 @@
 #include "config/watch-task.h"
 #include "daemon/node.h"
 #include "http/address.h"
-#include "log-event.h"
-#include "member/member.h"
+#include "member/peer-task.h"
 #include "route/server.h"
 #include "wire/codec.h"
 
@@ -21,38 +20,14 @@
 	uv_udp_t socket;
 	uv_timer_t timer;
 	uint8_t in[WIR_MAX_BYTES];
-	uint32_t alive; /* counts last logged */
-	uint32_t suspect;
+	struct per_logged logged;
 	bool stopped;
 };
 
-static void send_one(struct mbt *t, const struct mbr_out *o)
-{
-	uint8_t bytes[WIR_MAX_BYTES];
-	struct sockaddr_in sa = {.sin_family = AF_INET};
-	uv_buf_t buf;
-	size_t len = wir_encode(&o->msg, t->node->settings->cluster_key, bytes,
-				sizeof(bytes));
-
-	if (!len)
-		return;
-	sa.sin_addr.s_addr = htonl(o->to.ip);
-	sa.sin_port = htons(o->to.port);
-	buf = uv_buf_init((char *)bytes, (unsigned int)len);
-	if (uv_udp_try_send(&t->socket, &buf, 1, (struct sockaddr *)&sa) > 0)
-		ctr_add(&t->node->ctr, CTR_PEER_BYTES_OUT, len);
-}
-
 static void send_all(struct mbt *t, GArray *out)
 {
-	for (guint i = 0; i < out->len; i++)
-		send_one(t, &g_array_index(out, struct mbr_out, i));
-	g_array_free(out, TRUE);
-}
-
-static GArray *new_out(void)
-{
-	return g_array_new(FALSE, FALSE, sizeof(struct mbr_out));
+	per_send_all(&t->socket, &t->node->ctr, t->node->settings->cluster_key,
+		     out);
 }
 
 static void tell_head(struct mbt *t, uint64_t now)
@@ -65,23 +40,14 @@
 
 static void note_changes(struct mbt *t)
 {
-	uint32_t alive = mbr_count(&t->members, MBR_ALIVE);
-	uint32_t suspect = mbr_count(&t->members, MBR_SUSPECT);
-
-	if (alive == t->alive && suspect == t->suspect)
-		return;
-	t->alive = alive;
-	t->suspect = suspect;
-	bkt_on_members(t->node->backend_task);
-	lge(LGE_MEMBER_CHANGED, "alive=%u suspect=%u leaving=%u dead=%u",
-	    alive + 1, suspect, mbr_count(&t->members, MBR_LEAVING),
-	    mbr_count(&t->members, MBR_DEAD));
+	if (per_log_changes(&t->members, &t->logged))
+		bkt_on_members(t->node->backend_task);
 }
 
 static void on_tick(uv_timer_t *timer)
 {
 	struct mbt *t = timer->data;
-	GArray *out = new_out();
+	GArray *out = per_new_out();
 	uint64_t now = node_now(t->node);
 
 	node_note_state(t->node, now);
@@ -117,7 +83,7 @@
 		return;
 	}
 	now = node_now(t->node);
-	out = new_out();
+	out = per_new_out();
 	tell_head(t, now);
 	head = mbr_on_message(&t->members, now, &msg, out);
 	send_all(t, out);
@@ -159,7 +125,7 @@
 /* Tells the others that this node leaves. */
 void mbt_leave(struct mbt *t)
 {
-	GArray *out = new_out();
+	GArray *out = per_new_out();
 
 	mbr_leave(&t->members, node_now(t->node), out);
 	send_all(t, out);
