wire: write members' and fleet messages by one function

Cause, found by reading the change again: fleet-codec.c had its own copy of how wir_encode() writes, bounds and signs a call.

Change: wir_put() serves both; the header's writer is private again. Reading stays apart: a member's message has one of three procedures, checked after its header is read.

Conclusion: the same bytes; unit-member_test and unit-shift_test cover both.

--- a/wire/codec.c
+++ b/wire/codec.c
@@ -39,8 +39,7 @@
 	return true;
 }
 
-/* Writes the header of a call of our program. */
-bool wir_put_call(XDR *xdrs, uint32_t xid, uint32_t proc)
+static bool put_call(XDR *xdrs, uint32_t xid, uint32_t proc)
 {
 	struct rpc_msg call;
 
@@ -56,25 +55,6 @@
 	return xdr_callmsg(xdrs, &call);
 }
 
-static bool put_body(XDR *xdrs, const struct mbr_msg *msg)
-{
-	struct peer_update updates[MBR_MAX_UPDATES];
-	struct peer_message w = {
-		.sequence = msg->sequence,
-		.target = {.ip = msg->target.ip, .port = msg->target.port},
-		.head_revision = msg->head_revision,
-		.head_age_ms = msg->head_age_ms,
-		.store_cut = msg->store_cut,
-	};
-
-	update_to_wire(&msg->from, &w.from);
-	for (uint32_t i = 0; i < msg->n_updates; i++)
-		update_to_wire(&msg->updates[i], &updates[i]);
-	w.updates.updates_len = msg->n_updates;
-	w.updates.updates_val = updates;
-	return xdr_peer_message(xdrs, &w);
-}
-
 static void mac_of(const uint8_t *buf, size_t len, const char *key,
 		   uint8_t *mac)
 {
@@ -89,9 +69,12 @@
 	mac_of(buf, len, key, buf + len);
 }
 
-/* Writes a message; returns its length, or 0 if it does not fit. */
-size_t wir_encode(const struct mbr_msg *msg, const char *key, uint8_t *buf,
-		  size_t size)
+/*
+ * Writes a call of our program with that procedure and argument, signed;
+ * returns its length, or 0 if it does not fit.
+ */
+size_t wir_put(uint32_t xid, uint32_t proc, xdrproc_t body, void *value,
+	       const char *key, uint8_t *buf, size_t size)
 {
 	XDR xdrs;
 	size_t len;
@@ -101,8 +84,7 @@
 		return 0;
 	xdrmem_create(&xdrs, (char *)buf, (u_int)(size - WIR_MAC_BYTES),
 		      XDR_ENCODE);
-	ok = wir_put_call(&xdrs, msg->sequence, msg->kind + PEER_PING) &&
-	     put_body(&xdrs, msg);
+	ok = put_call(&xdrs, xid, proc) && body(&xdrs, value);
 	len = xdr_getpos(&xdrs);
 	xdr_destroy(&xdrs);
 	if (!ok)
@@ -111,6 +93,28 @@
 	return len + WIR_MAC_BYTES;
 }
 
+/* Writes a message; returns its length, or 0 if it does not fit. */
+size_t wir_encode(const struct mbr_msg *msg, const char *key, uint8_t *buf,
+		  size_t size)
+{
+	struct peer_update updates[MBR_MAX_UPDATES];
+	struct peer_message w = {
+		.sequence = msg->sequence,
+		.target = {.ip = msg->target.ip, .port = msg->target.port},
+		.head_revision = msg->head_revision,
+		.head_age_ms = msg->head_age_ms,
+		.store_cut = msg->store_cut,
+	};
+
+	update_to_wire(&msg->from, &w.from);
+	for (uint32_t i = 0; i < msg->n_updates; i++)
+		update_to_wire(&msg->updates[i], &updates[i]);
+	w.updates.updates_len = msg->n_updates;
+	w.updates.updates_val = updates;
+	return wir_put(msg->sequence, msg->kind + PEER_PING,
+		       (xdrproc_t)xdr_peer_message, &w, key, buf, size);
+}
+
 /* Reads the header of a call of our program. */
 bool wir_get_call(XDR *xdrs, uint32_t *proc)
 {
--- a/wire/codec.h
+++ b/wire/codec.h
@@ -26,7 +26,8 @@
 size_t wir_encode(const struct mbr_msg *msg, const char *key, uint8_t *buf,
 		  size_t size);
 void wir_seal(uint8_t *buf, size_t len, const char *key);
-bool wir_put_call(XDR *xdrs, uint32_t xid, uint32_t proc);
+size_t wir_put(uint32_t xid, uint32_t proc, xdrproc_t body, void *value,
+	       const char *key, uint8_t *buf, size_t size);
 bool wir_get_call(XDR *xdrs, uint32_t *proc);
 enum wir_fault wir_check(const uint8_t *buf, size_t len, const char *key);
 enum wir_fault wir_decode(const uint8_t *buf, size_t len, const char *key,
--- a/wire/fleet-codec.c
+++ b/wire/fleet-codec.c
@@ -38,21 +38,7 @@
 static size_t put(uint32_t proc, xdrproc_t body, void *value, const char *key,
 		  uint8_t *buf, size_t size)
 {
-	XDR xdrs;
-	size_t len;
-	bool ok;
-
-	if (size < WIR_MAC_BYTES)
-		return 0;
-	xdrmem_create(&xdrs, (char *)buf, (u_int)(size - WIR_MAC_BYTES),
-		      XDR_ENCODE);
-	ok = wir_put_call(&xdrs, 0, proc) && body(&xdrs, value);
-	len = xdr_getpos(&xdrs);
-	xdr_destroy(&xdrs);
-	if (!ok)
-		return 0;
-	wir_seal(buf, len, key);
-	return len + WIR_MAC_BYTES;
+	return wir_put(0, proc, body, value, key, buf, size);
 }
 
 static enum wir_fault get(uint32_t proc, xdrproc_t body, void *value,
