--- a/t/helper/objects.c
+++ b/t/helper/objects.c
@@ -9,6 +9,11 @@
  *                     the waiting watches with 503.
  *   {"forget": true}  drops the history; watches from older revisions get 410
  *   {"cut": true}     ends all waiting watches with 503
+ *   {"lose": true}    never answers the waiting watches
+ *   {"copy": true}    keeps a copy of all objects and of the revision
+ *   {"restore": true} goes back to the copy: later writes are lost, their
+ *                     revisions are given out again, watches from a revision
+ *                     above the copy's get 410, and Store-Era rises by one
  * GET /calls returns the number of calls without x-operator.
  */
 #include <json-c/json.h>
@@ -58,6 +63,18 @@
 static uint64_t dropped_revision; /* history up to here is dropped */
 static uint64_t call_count;
 static enum mode mode;
+static uint64_t era = 1; /* rises with each restore */
+static GHashTable *copied_objects; /* "kind/name" -> JSON text */
+static uint64_t copied_revision;
+
+/* Responds to a call of the API. */
+static void reply(struct http_server_request *req, int status, const char *json)
+{
+	g_autofree char *value = g_strdup_printf("%" G_GUINT64_FORMAT, era);
+
+	http_server_add_header(req, "Store-Era", value);
+	http_server_reply_json(req, status, json);
+}
 
 /* Responds with the changes since the watch's revision, or with 503. */
 static void end_watch(struct watch *w, bool with_events)
@@ -71,7 +88,7 @@
 		return;
 	http_server_on_disconnect(w->req, NULL, NULL);
 	if (!with_events) {
-		http_server_reply_json(w->req, 503, "{}");
+		reply(w->req, 503, "{}");
 		return;
 	}
 	body = g_string_new("{\"events\":[");
@@ -87,7 +104,7 @@
 	}
 	g_string_append_printf(body, "],\"as_of\":%" G_GUINT64_FORMAT "}",
 			       revision);
-	http_server_reply_json(w->req, 200, body->str);
+	reply(w->req, 200, body->str);
 	g_string_free(body, TRUE);
 }
 
@@ -139,8 +156,9 @@
 	const char *path = http_server_path(req);
 	struct watch *w;
 
-	if (query_number(path, "watch=") < dropped_revision) {
-		http_server_reply_json(req, 410, "{}");
+	if (query_number(path, "watch=") < dropped_revision ||
+	    query_number(path, "watch=") > revision) {
+		reply(req, 410, "{}");
 		return;
 	}
 	w = g_new0(struct watch, 1);
@@ -239,7 +257,7 @@
 	if (mode == MODE_TRICKLE)
 		start_trickle(req, body);
 	else
-		http_server_reply_json(req, 200, body->str);
+		reply(req, 200, body->str);
 }
 
 static struct json_object *new_object(const char *name)
@@ -264,7 +282,7 @@
 	struct json_object *meta;
 
 	if (!o && segments[2]) {
-		http_server_reply_json(req, 404, "{}");
+		reply(req, 404, "{}");
 		return;
 	}
 	if (!o) {
@@ -274,7 +292,7 @@
 	meta = jcheck_get(o, "meta");
 	if (requested_revision &&
 	    requested_revision != jcheck_get_int(meta, "rev", 0)) {
-		http_server_reply_json(req, 409, json_object_to_json_string(o));
+		reply(req, 409, json_object_to_json_string(o));
 		return;
 	}
 	revision++;
@@ -283,7 +301,7 @@
 	json_object_object_add(o, field,
 			       json_object_get(jcheck_get(body, field)));
 	add_change(segments[0], o, false);
-	http_server_reply_json(req, 200, json_object_to_json_string(o));
+	reply(req, 200, json_object_to_json_string(o));
 }
 
 static void delete_object(struct http_server_request *req, char **segments)
@@ -293,13 +311,60 @@
 	struct json_object *o = g_hash_table_lookup(objects, key);
 
 	if (!o) {
-		http_server_reply_json(req, 404, "{}");
+		reply(req, 404, "{}");
 		return;
 	}
 	revision++;
 	add_change(segments[0], o, true);
 	g_hash_table_remove(objects, key);
-	http_server_reply_json(req, 200, "{}");
+	reply(req, 200, "{}");
+}
+
+static void copy_all(void)
+{
+	GHashTableIter it;
+	void *key, *value;
+
+	g_hash_table_remove_all(copied_objects);
+	g_hash_table_iter_init(&it, objects);
+	while (g_hash_table_iter_next(&it, &key, &value))
+		g_hash_table_insert(
+			copied_objects, g_strdup(key),
+			g_strdup(json_object_to_json_string(value)));
+	copied_revision = revision;
+}
+
+static void restore_copy(void)
+{
+	GHashTableIter it;
+	void *key, *text;
+
+	g_hash_table_remove_all(objects);
+	g_hash_table_iter_init(&it, copied_objects);
+	while (g_hash_table_iter_next(&it, &key, &text))
+		g_hash_table_insert(objects, g_strdup(key),
+				    json_tokener_parse(text));
+	revision = copied_revision;
+	while (history->len) {
+		const struct change *c = history->pdata[history->len - 1];
+
+		if (c->revision <= revision)
+			break;
+		g_ptr_array_remove_index(history, history->len - 1);
+	}
+	era++;
+}
+
+/* Drops the waiting watches without an answer; their connections stay open. */
+static void lose_watches(void)
+{
+	for (guint i = 0; i < watches->len; i++) {
+		struct watch *w = watches->pdata[i];
+
+		uv_timer_stop(&w->timer);
+		http_server_on_disconnect(w->req, NULL, NULL);
+	}
+	g_ptr_array_set_size(watches, 0);
 }
 
 static void on_control(struct http_server_request *req, struct json_object *o)
@@ -311,6 +376,12 @@
 			mode = (enum mode)i;
 	if (jcheck_get(o, "forget"))
 		dropped_revision = ++revision;
+	if (jcheck_get(o, "lose"))
+		lose_watches();
+	if (jcheck_get(o, "copy"))
+		copy_all();
+	if (jcheck_get(o, "restore"))
+		restore_copy();
 	if (jcheck_get(o, "cut") || mode != MODE_OK)
 		while (watches->len)
 			end_watch(watches->pdata[0], false);
@@ -330,7 +401,7 @@
 		if (mode == MODE_SILENT)
 			return;
 		if (mode == MODE_BUSY) {
-			http_server_reply_json(req, 503, "{}");
+			reply(req, 503, "{}");
 			return;
 		}
 		if (mode == MODE_RESET) {
@@ -390,6 +461,8 @@
 	loop = uv_default_loop();
 	objects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					release_object);
+	copied_objects =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	history = g_ptr_array_new();
 	watches = g_ptr_array_new();
 	if (!http_server_listen(loop, argv[1], MAX_BODY_BYTES, HEAD_TIMEOUT_MS,
