platform: spread the ends of the configuration's watches over the fleet

Cause: each change ends the watches of all nodes at the same time, so the next ones of all nodes wait in step. If the store falls silent or is restored then, no node makes a call for 15 s and none notices.

Ruled out: one node that polls; it may be the one that is frozen or cut off. Random waits, which bound nothing. Shorter waits everywhere, which cost a call a second for each node.

Change: after a change the first wait of a node depends on its rank among those that watch; then all wait equally long, so that a watch ends somewhere in the fleet each 1.5 s. The wait is 1.5 s times the watchers, 15 s at most.

Calls while nothing changes, by calculation: 1.6 a second for 7 nodes instead of 1.4, 3 for 9.

--- a/fleet/fleet-task.c
+++ b/fleet/fleet-task.c
@@ -318,10 +318,13 @@
 		now - t->source_status_at < SOURCE_STATUS_MAX_AGE_MS;
 	bool diverged =
 		t->diverged_since && now - t->diverged_since > MAX_DIVERGED_MS;
+	uint32_t rank = fleet_task_rank(t, "watch");
 
 	t->following = is_large(t) && status_is_recent && !diverged &&
-		       gateway_has_all_topics(t->g) &&
-		       fleet_task_rank(t, "watch") >= SOURCE_WATCHERS;
+		       gateway_has_all_topics(t->g) && rank >= SOURCE_WATCHERS;
+	platform_feed_set_watchers(
+		t->g->feed,
+		is_large(t) ? SOURCE_WATCHERS : fleet_task_live_count(t), rank);
 	platform_feed_pause(t->g->feed, t->following);
 }
 
