servers: keep a server draining when the source is restored from a copy

Callers of a leaving server would see their requests cut: the copy lists it as ready, and it got new requests again (DRAIN) although this node had seen it leave.

Cause: a later entry that says ready was always believed. After a restore it may be older than what the node has seen.

Ruled out: to believe nothing that was removed before the restore. Entries also expire while the store is away, of servers that are well.

Change: a server that drained stays so across a rise of the era, also once it was removed, for 60 s, unless its entry is of another start of the server (born) or was written again in the new era. Nodes tell each other both.

--- a/daemon/gateway.c
+++ b/daemon/gateway.c
@@ -347,7 +347,7 @@
 }
 
 /* Frees removed servers without requests and closes connections to them. */
-static void free_removed_servers(struct gateway_state *g)
+static void free_removed_servers(struct gateway_state *g, uint64_t now)
 {
 	for (guint i = 0; i < g->servers.all->len; i++) {
 		const struct server_record *s = g->servers.all->pdata[i];
@@ -358,7 +358,7 @@
 		pool = exchange_pool_name(s);
 		http_client_close_idle_pool(g->http, pool);
 	}
-	server_free_removed(&g->servers);
+	server_free_removed(&g->servers, now);
 }
 
 static void on_tick(uv_timer_t *timer)
@@ -372,7 +372,7 @@
 	shift_task_tick(g->shifts, now);
 	peer_loads_apply(&g->peer_loads, now, &g->servers);
 	if (tick_count % CLEANUP_TICKS == 0) {
-		free_removed_servers(g);
+		free_removed_servers(g, now);
 		recent_sessions_expire(&g->recent, now);
 	}
 	if (tick_count % SETTINGS_CHECK_TICKS == 0 && settings_changed(g))
--- a/exchange/feed.h
+++ b/exchange/feed.h
@@ -5,6 +5,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "exchange/feed-revision.h"
 #include "exchange/servers.h"
 
 /*
@@ -19,33 +20,6 @@
 	FEED_TOPIC_COUNT,
 };
 
-/*
- * A source that is restored from an older copy loses changes and gives out
- * their revisions again. It counts these losses as its era. The revisions that
- * the handlers get are made of both, era first, so that they only grow and can
- * be compared between nodes; in logs, 2000000000032 is revision 32 of era 2.
- */
-#define FEED_ERA_UNIT 1000000000000ULL /* revisions in an era */
-
-/* Returns the revision for the handlers of a source's own revision in an era.
- */
-static inline uint64_t feed_revision(uint64_t era, uint64_t source_revision)
-{
-	return era * FEED_ERA_UNIT + source_revision;
-}
-
-/* Returns the era of a feed_revision(). */
-static inline uint64_t feed_revision_era(uint64_t revision)
-{
-	return revision / FEED_ERA_UNIT;
-}
-
-/* Returns the source's own revision of a feed_revision(). */
-static inline uint64_t feed_revision_in_era(uint64_t revision)
-{
-	return revision % FEED_ERA_UNIT;
-}
-
 /* State of a roll-out, as stored with its order. */
 enum feed_rollout_state {
 	FEED_ROLLOUT_ORDERED, /* no node has started it */
--- a/exchange/servers.c
+++ b/exchange/servers.c
@@ -3,6 +3,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "exchange/feed-revision.h"
+
 /* Weights of the latest sample in the moving averages. */
 #define LATENCY_RATIO_WEIGHT 0.1
 #define TABLE_MEAN_WEIGHT 0.02
@@ -99,6 +101,30 @@
 	s->misdirected = false;
 }
 
+static bool is_same_boot(const struct server_record *s,
+			 const struct server_entry *entry, bool restored)
+{
+	if (s->born || entry->born)
+		return s->born == entry->born;
+	return s->state != SERVER_REMOVED || restored;
+}
+
+/*
+ * Returns whether the server drains. That is not taken back by an entry that
+ * the source had before and has been restored to.
+ */
+static bool is_draining(const struct server_record *s,
+			const struct server_entry *entry)
+{
+	bool restored = feed_revision_era(entry->revision) >
+			feed_revision_era(s->revision);
+
+	if (entry->draining)
+		return true;
+	return s->draining && is_same_boot(s, entry, restored) &&
+	       (restored || entry->revision == s->revision);
+}
+
 /*
  * Adds a server or updates it from a newer entry, and returns it. An entry of a
  * lower revision than the known one changes nothing, so a late message cannot
@@ -122,7 +148,10 @@
 	set_text(&s->version, entry->version);
 	s->slots = entry->slots;
 	s->cold_until = entry->cold_ms ? now + entry->cold_ms : 0;
-	s->state = entry->draining ? SERVER_DRAINING : SERVER_READY;
+	s->draining = is_draining(s, entry);
+	s->state = s->draining ? SERVER_DRAINING : SERVER_READY;
+	s->removed_at = 0;
+	s->born = entry->born;
 	s->revision = entry->revision;
 	s->listed = true;
 	return s;
@@ -176,13 +205,26 @@
 	return removed;
 }
 
-/* Frees the removed servers that have no request of this node in flight. */
-void server_free_removed(struct server_table *t)
+static bool may_be_freed(struct server_record *s, uint64_t now)
+{
+	if (s->state != SERVER_REMOVED || s->in_flight)
+		return false;
+	if (!s->removed_at)
+		s->removed_at = now;
+	return !s->draining || now - s->removed_at > SERVER_DRAINED_MEMORY_MS;
+}
+
+/*
+ * Frees the removed servers that have no request of this node in flight. Those
+ * that drained are kept for SERVER_DRAINED_MEMORY_MS, so that a restored source
+ * does not make them ready again.
+ */
+void server_free_removed(struct server_table *t, uint64_t now)
 {
 	for (guint i = t->all->len; i-- > 0;) {
 		struct server_record *s = t->all->pdata[i];
 
-		if (s->state != SERVER_REMOVED || s->in_flight)
+		if (!may_be_freed(s, now))
 			continue;
 		g_hash_table_remove(t->by_id, s->id);
 		g_ptr_array_remove_index_fast(t->all, i);
--- a/exchange/servers.h
+++ b/exchange/servers.h
@@ -15,6 +15,7 @@
 #define SERVER_EJECT_FIRST_MS 400 /* doubles with each further ejection */
 #define SERVER_EJECT_MAX_MS 6000
 #define SERVER_LOAD_MAX_AGE_MS 1500
+#define SERVER_DRAINED_MEMORY_MS 60000 /* a restored copy is not older */
 
 enum server_state {
 	SERVER_READY,
@@ -32,7 +33,8 @@
 	uint32_t slots; /* requests that it runs at the same time */
 	uint32_t cold_ms; /* remaining time of its slow phase after start */
 	bool draining;
-	uint64_t revision; /* of the entry */
+	uint64_t revision; /* of the entry, by feed_revision() */
+	uint64_t born; /* when the server started, Unix ms; 0: unknown */
 };
 
 /* What this node knows of one server. */
@@ -47,6 +49,10 @@
 	uint64_t cold_until; /* 0: not cold */
 	enum server_state state;
 	uint64_t revision; /* of the entry */
+	uint64_t born; /* of the entry */
+	/* By its entry, also by one that the source has lost since. */
+	bool draining;
+	uint64_t removed_at; /* first seen so by server_free_removed() */
 	uint32_t in_flight; /* requests of this node */
 	uint32_t peer_in_flight; /* of the other nodes, by their reports */
 	double decode; /* sum of the weights of this node's model requests */
@@ -104,7 +110,7 @@
 bool server_remove(struct server_table *t, const char *id, uint64_t revision);
 void server_begin_listing(struct server_table *t);
 uint32_t server_end_listing(struct server_table *t);
-void server_free_removed(struct server_table *t);
+void server_free_removed(struct server_table *t, uint64_t now);
 uint64_t server_table_digest(const struct server_table *t);
 
 double server_load(const struct server_record *s, uint64_t now);
--- a/fleet/state-task.c
+++ b/fleet/state-task.c
@@ -68,11 +68,10 @@
 	jcheck_add_string(o, "zone", s->zone);
 	jcheck_add_string(o, "version", s->version);
 	json_object_object_add(o, "slots", json_object_new_int64(s->slots));
-	json_object_object_add(
-		o, "draining",
-		json_object_new_boolean(s->state != SERVER_READY));
-	json_object_object_add(o, "revision",
-			       json_object_new_int64((int64_t)s->revision));
+	json_object_object_add(o, "draining",
+			       json_object_new_boolean(s->draining));
+	add_number(o, "revision", s->revision);
+	add_number(o, "born", s->born);
 	return o;
 }
 
@@ -196,6 +195,7 @@
 		.slots = (uint32_t)jcheck_get_int(o, "slots", 0),
 		.draining = json_object_get_boolean(jcheck_get(o, "draining")),
 		.revision = (uint64_t)jcheck_get_int(o, "revision", 0),
+		.born = (uint64_t)jcheck_get_int(o, "born", 0),
 	};
 
 	if (entry.id && entry.service && entry.address)
--- a/t/unit/exchange_test.cc
+++ b/t/unit/exchange_test.cc
@@ -11,7 +11,7 @@
 #include "exchange/budget.h"
 #include "exchange/cascade.h"
 #include "exchange/events.h"
-#include "exchange/feed.h"
+#include "exchange/feed-revision.h"
 #include "exchange/peer-loads.h"
 #include "exchange/prompt.h"
 #include "exchange/removals.h"
@@ -414,10 +414,10 @@
 	}
 	server_record *put(const char *id, const char *zone = "z1",
 			   const char *version = "v1", bool draining = false,
-			   uint64_t revision = 1)
+			   uint64_t revision = 1, uint64_t born = 0)
 	{
-		server_entry e = {id, "s", "10.0.0.1:1", zone,	  version,
-				  8,  0,   draining,	 revision};
+		server_entry e = {id, "s",	"10.0.0.1:1", zone, version, 8,
+				  0,  draining, revision,     born};
 		return server_update(&t, 0, &e);
 	}
 	const char *pick(pick_criteria c, uint64_t now = 0)
@@ -454,6 +454,39 @@
 	EXPECT_STREQ(s.pick({}), "a");
 }
 
+TEST(Servers, ALeavingServerStaysSoWhenTheSourceIsRestoredFromACopy)
+{
+	Servers s;
+	s.put("a", "z1", "v1", true, feed_revision(1, 9), 77);
+	s.put("a", "z1", "v1", false, feed_revision(2, 4), 77);
+	EXPECT_STREQ(s.pick({}), "none");
+	s.put("a", "z1", "v1", false, feed_revision(2, 4), 77);
+	EXPECT_STREQ(s.pick({}), "none") << "the same entry, listed again";
+
+	server_remove(&s.t, "a", feed_revision(2, 5));
+	server_free_removed(&s.t, 1000);
+	s.put("a", "z1", "v1", false, feed_revision(3, 4), 77);
+	EXPECT_STREQ(s.pick({}), "none") << "removed, then restored";
+
+	server_remove(&s.t, "a", feed_revision(3, 5));
+	server_free_removed(&s.t, 2000);
+	server_free_removed(&s.t, 2001 + SERVER_DRAINED_MEMORY_MS);
+	EXPECT_EQ(server_find(&s.t, "a"), nullptr);
+}
+
+TEST(Servers, ALeavingServerIsReadyAgainAfterItsRestart)
+{
+	Servers s;
+	s.put("a", "z1", "v1", true, feed_revision(1, 9), 77);
+	s.put("a", "z1", "v1", false, feed_revision(2, 4), 78);
+	EXPECT_STREQ(s.pick({}), "a") << "under the same id";
+	s.put("b", "z1", "v1", true, feed_revision(2, 9));
+	server_remove(&s.t, "a", 0);
+	server_remove(&s.t, "b", 0);
+	s.put("b", "z1", "v1", false, feed_revision(2, 12));
+	EXPECT_STREQ(s.pick({}), "b") << "without a time of its start";
+}
+
 RC_GTEST_PROP(Feed, RevisionsGrowWithTheEraThoughTheSourceStartsLower, ())
 {
 	uint64_t era = *rc::gen::inRange<uint64_t>(0, 100000);
