--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -109,6 +109,7 @@
 {
 	return !g_ascii_strcasecmp(name, "content-length") ||
 	       !g_ascii_strcasecmp(name, names->load) ||
+	       !g_ascii_strcasecmp(name, names->rate_limit) ||
 	       !g_ascii_strcasecmp(name, names->not_run);
 }
 
@@ -393,6 +394,17 @@
 				      waiting, slots);
 }
 
+/* Takes up the limit that a server names with an answer. */
+static void read_rate_limit(struct exchange_request *x, const char *value)
+{
+	double per_s = rate_limit_parse(value);
+
+	if (rate_limit_hear(&x->server->limit, gateway_now(x->g), per_s))
+		log_event(LOG_EVENT_SERVER_LIMIT,
+			  "server=%s per_s=%.3f request=%s", x->server->id,
+			  per_s, x->id);
+}
+
 /*
  * Returns whether to escalate an answer, also by the attempts and the budget
  * left. Takes a retry from the budget if so.
@@ -474,6 +486,9 @@
 	x->head_ms =
 		(double)(gateway_now(x->g) - x->attempt_at) + TIME_OFFSET_MS;
 	read_load_header(x, http_message_find(head->fields, names->load));
+	if (h.id_matches && h.status != 421)
+		read_rate_limit(
+			x, http_message_find(head->fields, names->rate_limit));
 	if (!retry_on_head(&x->answer, &h)) {
 		http_client_cancel(x->call);
 		return;
--- a/exchange/servers.h
+++ b/exchange/servers.h
@@ -5,6 +5,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "exchange/rate-limit.h"
 #include "exchange/removals.h"
 #include "rng.h"
 
@@ -70,6 +71,7 @@
 	uint32_t failure_streak; /* failed calls in a row */
 	uint64_t ejected_until;
 	uint64_t ejection_streak; /* ejections without a success between */
+	struct rate_limit limit;
 	bool misdirected; /* another server has its address */
 	bool listed; /* present in the listing being applied */
 };
