--- a/t/helper/backend.c
+++ b/t/helper/backend.c
@@ -24,6 +24,9 @@
  *                 resumed
  *   stream-gap    leaves out event 2
  *   stream-slow   EVENT_INTERVAL_MS between events
+ * GET /say/FIELD/VALUE adds a header field to all responses, GET /say/FIELD
+ * drops it. GET /arrived lists when requests arrived, refused ones too, one a
+ * line: ms of the machine's steady clock, id.
  * GET /ran lists the requests that ran, one a line: id, method, path, tenant,
  * deadline, model, last event id, body length, key, instance. GET /gone returns
  * the number of clients that disconnected while their request ran.
@@ -57,6 +60,8 @@
 
 static uv_loop_t *loop;
 static GString *run_log; /* what GET /ran returns */
+static GString *arrival_log; /* what GET /arrived returns */
+static GHashTable *extra_fields; /* name -> value, in all responses */
 static char *forced_mode; /* for all requests, or NULL */
 static const char *instance;
 static unsigned int disconnect_count;
@@ -119,13 +124,29 @@
 	}
 }
 
+/* Returns the lines of the fields set with GET /say; free with g_free(). */
+static char *extra_lines(void)
+{
+	GString *lines = g_string_new(NULL);
+	GHashTableIter it;
+	void *name, *value;
+
+	g_hash_table_iter_init(&it, extra_fields);
+	while (g_hash_table_iter_next(&it, &name, &value))
+		g_string_append_printf(lines, "%s: %s\r\n", (char *)name,
+				       (char *)value);
+	return g_string_free(lines, FALSE);
+}
+
 static void write_response(struct conn *c, int status, const char *id,
-			   const char *extra_fields, const char *body)
+			   const char *fields, const char *body)
 {
+	g_autofree char *extra = extra_lines();
+
 	write_text(c,
-		   "HTTP/1.1 %d X\r\nX-Chivegw-Request-Id: %s\r\n%s"
+		   "HTTP/1.1 %d X\r\nX-Chivegw-Request-Id: %s\r\n%s%s"
 		   "Content-Length: %zu\r\n\r\n%s",
-		   status, id, extra_fields, strlen(body), body);
+		   status, id, fields, extra, strlen(body), body);
 }
 
 #define SEAL_FIELD "X-Chivegw-Server-Seal: seal-1\r\n"
@@ -144,12 +165,14 @@
 
 static void write_stream_head(struct conn *c)
 {
+	g_autofree char *extra = extra_lines();
+
 	write_text(c,
 		   "HTTP/1.1 200 OK\r\nX-Chivegw-Request-Id: %s\r\n" SEAL_FIELD
-		   "Content-Type: text/event-stream\r\n"
+		   "Content-Type: text/event-stream\r\n%s"
 		   "X-Chivegw-Confidence: 20\r\nTransfer-Encoding: "
 		   "chunked\r\n\r\n",
-		   c->id);
+		   c->id, extra);
 }
 
 static void on_timer(uv_timer_t *timer)
@@ -269,6 +292,19 @@
 	return value;
 }
 
+/* Sets a header field of all responses by "FIELD/VALUE"; "FIELD" drops it. */
+static void say(const char *field)
+{
+	const char *slash = strchr(field, '/');
+
+	if (slash)
+		g_hash_table_insert(extra_fields,
+				    g_strndup(field, (gsize)(slash - field)),
+				    g_strdup(slash + 1));
+	else
+		g_hash_table_remove(extra_fields, field);
+}
+
 static bool mode_runs_request(const char *mode)
 {
 	return strcmp(mode, "refuse") != 0 && strcmp(mode, "other") != 0;
@@ -301,6 +337,15 @@
 		write_response(c, 200, "-", "", text);
 		return;
 	}
+	if (!strcmp(line[1], "/arrived")) {
+		write_response(c, 200, "-", "", arrival_log->str);
+		return;
+	}
+	if (g_str_has_prefix(line[1], "/say/")) {
+		say(line[1] + strlen("/say/"));
+		write_response(c, 200, "-", "", "");
+		return;
+	}
 	if (g_str_has_prefix(line[1], "/control/")) {
 		g_free(forced_mode);
 		forced_mode =
@@ -308,6 +353,9 @@
 		write_response(c, 200, "-", "", "");
 		return;
 	}
+	g_string_append_printf(arrival_log, "%" G_GUINT64_FORMAT " %s\n",
+			       (guint64)(uv_hrtime() / 1000000),
+			       c->id ? c->id : "-");
 	if (g_strcmp0(expect, instance) != 0)
 		c->mode = g_strdup("other");
 	if (mode_runs_request(c->mode))
@@ -396,6 +444,9 @@
 	signal(SIGPIPE, SIG_IGN);
 	instance = argv[2];
 	run_log = g_string_new(NULL);
+	arrival_log = g_string_new(NULL);
+	extra_fields =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	loop = uv_default_loop();
 	uv_tcp_init(loop, &listener);
 	if (uv_tcp_bind(&listener, (struct sockaddr *)&sa, 0) ||
