exchange: divide a server's named limit between a few nodes

Cause: no node kept to the limit. A count that one node alone knows would not have helped: nine nodes that each keep to 2 a second send 18.

Ruled out: an equal part for each of n nodes. The first request of a node is sent at once, so 75 nodes send 75 before the rate counts, and parts below one request in some seconds are hardly used. A counter in the platform's store: a call for each request.

Change: 2 + limit nodes, by their rank for the server, divide the limit; the others send nothing there. Each paces its part and may be half a second early. What a node hears from a server, also that it names no limit any more, it tells some others for 5 s in a message of its own, which nodes without this change ignore. The limit is forgotten when the server restarts. A server over its part is no candidate; if all are, the request is refused at once as not run. Clients get the field again, as all others.

Places with the same cause: the retry budget already counts a node's part of the fleet's; connections to a server are divided by live nodes (exchange/place-task.c).

--- a/bench/route-slopes.c
+++ b/bench/route-slopes.c
@@ -119,7 +119,7 @@
 
 	fill_server_table(&t, LOAD_SERVERS);
 	for (guint i = 0; i < BUSY_SERVERS; i++)
-		server_on_request_start(t.all->pdata[i]);
+		server_on_request_start(t.all->pdata[i], 0);
 	peer_loads_report(&t, "node", &report);
 	printf("a node's word of its loads on %u servers: %zu bytes\n",
 	       report.n,
--- a/daemon/gateway-metrics.c
+++ b/daemon/gateway-metrics.c
@@ -45,19 +45,22 @@
 static void append_servers(const struct gateway_state *g, uint64_t now,
 			   GString *out)
 {
-	uint32_t ready = 0, ejected = 0, in_flight = 0;
+	uint32_t ready = 0, ejected = 0, limited = 0, in_flight = 0;
 
 	for (guint i = 0; i < g->servers.all->len; i++) {
 		const struct server_record *s = g->servers.all->pdata[i];
 
 		ready += s->state == SERVER_READY;
 		ejected += s->ejected_until > now;
+		limited += s->limit.per_s > 0;
 		in_flight += s->in_flight;
 	}
 	append_gauge(out, "servers_ready", "servers that may get requests",
 		     ready);
 	append_gauge(out, "servers_ejected", "servers ejected after failures",
 		     ejected);
+	append_gauge(out, "servers_limited", "servers that name a limit",
+		     limited);
 	append_gauge(out, "in_flight", "requests of this node at servers",
 		     in_flight);
 }
--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -109,7 +109,6 @@
 {
 	return !g_ascii_strcasecmp(name, "content-length") ||
 	       !g_ascii_strcasecmp(name, names->load) ||
-	       !g_ascii_strcasecmp(name, names->rate_limit) ||
 	       !g_ascii_strcasecmp(name, names->not_run);
 }
 
@@ -399,7 +398,7 @@
 {
 	double per_s = rate_limit_parse(value);
 
-	if (rate_limit_hear(&x->server->limit, gateway_now(x->g), per_s))
+	if (rate_limit_hear(&x->server->limit, gateway_now(x->g), per_s, true))
 		log_event(LOG_EVENT_SERVER_LIMIT,
 			  "server=%s per_s=%.3f request=%s", x->server->id,
 			  per_s, x->id);
@@ -636,7 +635,7 @@
 	x->stream_status = EVENT_STREAM_OK;
 	x->head_ms = 0;
 	x->attempt_events = 0;
-	server_on_request_start(x->server);
+	server_on_request_start(x->server, now);
 	server_add_work(x->server, &x->work);
 	x->load_at_start = server_load(x->server, now);
 	x->server_version = g_intern_string(x->server->version);
--- a/exchange/peer-loads.c
+++ b/exchange/peer-loads.c
@@ -43,24 +43,12 @@
 	return *(uint64_t *)now - n->received_at > PEER_LOADS_MAX_AGE_MS;
 }
 
-static struct server_record *find_by_hash(const struct server_table *t,
-					  uint64_t hash)
-{
-	for (guint i = 0; i < t->all->len; i++) {
-		struct server_record *s = t->all->pdata[i];
-
-		if (s->hash == hash)
-			return s;
-	}
-	return NULL;
-}
-
 static void add_report(struct server_table *t,
 		       const struct fleet_wire_loads *report)
 {
 	for (uint32_t i = 0; i < report->n; i++) {
 		const struct fleet_wire_load *load = &report->load[i];
-		struct server_record *s = find_by_hash(t, load->server);
+		struct server_record *s = server_find_by_hash(t, load->server);
 
 		if (!s)
 			continue;
--- a/exchange/rate-limit.c
+++ b/exchange/rate-limit.c
@@ -4,6 +4,14 @@
 
 /* Below this rate a server could not show that it has lifted its limit. */
 #define MIN_PER_S 0.2
+/*
+ * Nodes that divide a limit between them: this number, and one more for each
+ * request a second. Few nodes keep the first requests of all, which no rate
+ * delays, within what a server can bear.
+ */
+#define BASE_NODES 2
+/* How long before it is due a request may be sent, after an idle time. */
+#define BURST_MS 500
 
 /*
  * Returns the rate that a header field names, a decimal number, or 0 if it is
@@ -24,15 +32,44 @@
 
 /*
  * Takes up what an answer said, 0 if it named no limit, unless a later answer
- * is known. Returns true if the limit has changed.
+ * is known. Returns true if the limit has changed. A new limit allows nothing
+ * until rate_limit_set_rank().
  */
-bool rate_limit_hear(struct rate_limit *l, uint64_t answered_at, double per_s)
+bool rate_limit_hear(struct rate_limit *l, uint64_t answered_at, double per_s,
+		     bool heard_here)
 {
 	bool changed = per_s != l->per_s;
 
-	if (answered_at < l->heard_at || (!per_s && !l->heard_at))
+	if (answered_at < l->heard_at || (!per_s && !l->per_s))
 		return false;
+	if (!l->per_s)
+		l->share_per_s = 0;
 	l->heard_at = answered_at;
+	l->heard_here = heard_here;
 	l->per_s = per_s;
 	return changed;
 }
+
+/* Sets this node's part by its rank, from 0, among the live nodes. */
+void rate_limit_set_rank(struct rate_limit *l, uint32_t rank, uint32_t nodes)
+{
+	uint32_t senders = MIN(BASE_NODES + (uint32_t)l->per_s, nodes);
+
+	l->share_per_s = rank < senders ? l->per_s / senders : 0;
+}
+
+/* Returns whether this node may send the server a request now. */
+bool rate_limit_allows(const struct rate_limit *l, uint64_t now)
+{
+	if (!l->per_s)
+		return true;
+	return l->share_per_s > 0 && now + BURST_MS >= l->next_at;
+}
+
+/* Counts a request that is sent to the server. */
+void rate_limit_count(struct rate_limit *l, uint64_t now)
+{
+	if (l->share_per_s > 0)
+		l->next_at = MAX(l->next_at, now) +
+			     (uint64_t)(1000 / l->share_per_s);
+}
--- a/exchange/servers.c
+++ b/exchange/servers.c
@@ -69,6 +69,19 @@
 	return g_hash_table_lookup(t->by_id, id);
 }
 
+/* Returns the server whose id has this hash, as server_find(). */
+struct server_record *server_find_by_hash(const struct server_table *t,
+					  uint64_t hash)
+{
+	for (guint i = 0; i < t->all->len; i++) {
+		struct server_record *s = t->all->pdata[i];
+
+		if (s->hash == hash)
+			return s;
+	}
+	return NULL;
+}
+
 static void set_text(char **field, const char *text)
 {
 	if (!g_strcmp0(*field, text))
@@ -101,12 +114,27 @@
 	s->misdirected = false;
 }
 
+/* Returns whether the source was restored between the two entries. */
+static bool was_restored(const struct server_record *s,
+			 const struct server_entry *entry)
+{
+	return feed_revision_era(entry->revision) >
+	       feed_revision_era(s->revision);
+}
+
 static bool is_same_boot(const struct server_record *s,
-			 const struct server_entry *entry, bool restored)
+			 const struct server_entry *entry)
 {
 	if (s->born || entry->born)
 		return s->born == entry->born;
-	return s->state != SERVER_REMOVED || restored;
+	return s->state != SERVER_REMOVED || was_restored(s, entry);
+}
+
+/* Resets what the server said of itself before its restart. */
+static void reset_boot(struct server_record *s)
+{
+	s->draining = false;
+	memset(&s->limit, 0, sizeof(s->limit));
 }
 
 /*
@@ -116,13 +144,9 @@
 static bool is_draining(const struct server_record *s,
 			const struct server_entry *entry)
 {
-	bool restored = feed_revision_era(entry->revision) >
-			feed_revision_era(s->revision);
-
-	if (entry->draining)
-		return true;
-	return s->draining && is_same_boot(s, entry, restored) &&
-	       (restored || entry->revision == s->revision);
+	return entry->draining ||
+	       (s->draining &&
+		(was_restored(s, entry) || entry->revision == s->revision));
 }
 
 /*
@@ -142,6 +166,8 @@
 	else if (s->state != SERVER_READY ||
 		 g_strcmp0(s->address, entry->address) != 0)
 		reset_statistics(s);
+	if (!is_same_boot(s, entry))
+		reset_boot(s);
 	set_text(&s->service, entry->service);
 	set_text(&s->address, entry->address);
 	set_text(&s->zone, entry->zone);
@@ -356,9 +382,10 @@
 }
 
 /* Counts a request of this node that is sent to the server. */
-void server_on_request_start(struct server_record *s)
+void server_on_request_start(struct server_record *s, uint64_t now)
 {
 	s->in_flight++;
+	rate_limit_count(&s->limit, now);
 }
 
 /*
--- a/exchange/servers.h
+++ b/exchange/servers.h
@@ -107,6 +107,8 @@
 void server_table_init(struct server_table *t);
 void server_table_clear(struct server_table *t);
 struct server_record *server_find(const struct server_table *t, const char *id);
+struct server_record *server_find_by_hash(const struct server_table *t,
+					  uint64_t hash);
 struct server_record *server_update(struct server_table *t, uint64_t now,
 				    const struct server_entry *entry);
 bool server_remove(struct server_table *t, const char *id, uint64_t revision);
@@ -126,7 +128,7 @@
 void server_remove_work(struct server_record *s, struct server_work *work);
 void server_on_event_interval(struct server_table *t, struct server_record *s,
 			      const struct server_work *work, double event_ms);
-void server_on_request_start(struct server_record *s);
+void server_on_request_start(struct server_record *s, uint64_t now);
 void server_on_load_report(struct server_record *s, uint64_t now,
 			   uint32_t running, uint32_t waiting, uint32_t slots);
 void server_on_request_end(struct server_table *t, struct server_record *s,
--- a/fleet/fleet-task.c
+++ b/fleet/fleet-task.c
@@ -7,8 +7,10 @@
 #include <xxhash.h>
 
 #include "daemon/gateway.h"
+#include "exchange/peer-limits.h"
 #include "fleet/state-task.h"
 #include "http/address.h"
+#include "log-event.h"
 #include "member/peer-task.h"
 #include "platform/feed-task.h"
 #include "rollout/shift-task.h"
@@ -328,6 +330,25 @@
 	platform_feed_pause(t->g->feed, t->following);
 }
 
+/* Sends to LOAD_FANOUT live members, starting at a random one. */
+static void send_to_some(struct fleet_task *t, const uint8_t *bytes, size_t len)
+{
+	const GArray *members = t->members.members;
+	uint32_t left = LOAD_FANOUT;
+	guint start = members->len ? rng_below(&t->g->rng, members->len) : 0;
+
+	for (guint i = 0; i < members->len && left; i++) {
+		const struct member_entry *m =
+			&g_array_index(members, struct member_entry,
+				       (start + i) % members->len);
+
+		if (m->info.state != MEMBER_ALIVE)
+			continue;
+		send_bytes(t, m->info.addr, bytes, len);
+		left--;
+	}
+}
+
 /*
  * Sends the load that this node puts on the servers to LOAD_FANOUT live
  * members, starting at a random one. Without a load it sends more seldom;
@@ -339,8 +360,6 @@
 	uint8_t bytes[PEER_WIRE_MAX_BYTES];
 	struct fleet_wire_loads l;
 	bool any = peer_loads_report(&t->g->servers, t->g->settings->node, &l);
-	uint32_t left = LOAD_FANOUT;
-	guint start;
 	size_t len;
 
 	if (!members->len ||
@@ -352,16 +371,34 @@
 		l.changed[i] = t->g->latest_revision[i];
 	len = fleet_wire_encode_loads(&l, t->g->settings->cluster_key, bytes,
 				      sizeof(bytes));
-	start = rng_below(&t->g->rng, members->len);
-	for (guint i = 0; i < members->len && left; i++) {
-		const struct member_entry *m =
-			&g_array_index(members, struct member_entry,
-				       (start + i) % members->len);
+	send_to_some(t, bytes, len);
+}
 
-		if (m->info.state != MEMBER_ALIVE)
-			continue;
-		send_bytes(t, m->info.addr, bytes, len);
-		left--;
+/* Sends what servers have said to this node of their limits. */
+static void send_limits(struct fleet_task *t, uint64_t now)
+{
+	uint8_t bytes[PEER_WIRE_MAX_BYTES];
+	struct fleet_wire_limits l;
+
+	if (!peer_limits_report(&t->g->servers, now, t->g->settings->node, &l))
+		return;
+	send_to_some(t, bytes,
+		     fleet_wire_encode_limits(&l, t->g->settings->cluster_key,
+					      bytes, sizeof(bytes)));
+}
+
+/* Divides the limit of each server that names one between a few live nodes. */
+static void divide_limits(struct fleet_task *t)
+{
+	const GPtrArray *servers = t->g->servers.all;
+	uint32_t nodes = fleet_task_live_count(t);
+
+	for (guint i = 0; i < servers->len; i++) {
+		struct server_record *s = servers->pdata[i];
+
+		if (s->limit.per_s > 0)
+			rate_limit_set_rank(&s->limit,
+					    fleet_task_rank(t, s->id), nodes);
 	}
 }
 
@@ -380,6 +417,8 @@
 	send_shift_state(t, now);
 	send_sessions(t);
 	send_loads(t);
+	send_limits(t, now);
+	divide_limits(t);
 	send_source_status(t, now);
 	update_following(t, now);
 	peer_task_log_changes(&t->members, &t->logged);
@@ -539,6 +578,24 @@
 	}
 }
 
+static void on_limits(struct fleet_task *t, const uint8_t *bytes, size_t len)
+{
+	struct fleet_wire_limits l;
+
+	if (fleet_wire_decode_limits(bytes, len, t->g->settings->cluster_key,
+				     &l) != PEER_WIRE_OK)
+		counter_add(&t->g->counter_set, COUNTER_PEER_BAD, 1);
+	for (uint32_t i = 0; i < l.n; i++) {
+		const struct server_record *s = peer_limits_apply(
+			&t->g->servers, gateway_now(t->g), &l.limit[i]);
+
+		if (s)
+			log_event(LOG_EVENT_SERVER_LIMIT,
+				  "server=%s per_s=%.3f node=%s", s->id,
+				  s->limit.per_s, l.node);
+	}
+}
+
 static void on_receive(uv_udp_t *socket, ssize_t len, const uv_buf_t *buf,
 		       const struct sockaddr *from, unsigned int flags)
 {
@@ -566,6 +623,9 @@
 		on_source_status(t, bytes, (size_t)len,
 				 (const struct sockaddr_in *)from);
 		break;
+	case FLEET_WIRE_LIMITS:
+		on_limits(t, bytes, (size_t)len);
+		break;
 	case FLEET_WIRE_SESSIONS:
 		on_sessions(t, bytes, (size_t)len);
 		break;
--- a/t/fuzz/parsers.c
+++ b/t/fuzz/parsers.c
@@ -71,6 +71,7 @@
 	struct fleet_wire_sessions sessions;
 	struct fleet_wire_loads loads;
 	struct fleet_wire_source source;
+	struct fleet_wire_limits limits;
 
 	if (len > sizeof(buf) - PEER_WIRE_MAC_BYTES)
 		return;
@@ -83,6 +84,7 @@
 	fleet_wire_decode_sessions(buf, len, "key", &sessions);
 	fleet_wire_decode_loads(buf, len, "key", &loads);
 	fleet_wire_decode_source(buf, len, "key", &source);
+	fleet_wire_decode_limits(buf, len, "key", &limits);
 }
 
 static void fuzz_event_stream(const char *text, size_t len)
--- a/t/unit/exchange_test.cc
+++ b/t/unit/exchange_test.cc
@@ -12,6 +12,7 @@
 #include "exchange/cascade.h"
 #include "exchange/events.h"
 #include "exchange/feed-revision.h"
+#include "exchange/peer-limits.h"
 #include "exchange/peer-loads.h"
 #include "exchange/prompt.h"
 #include "exchange/removals.h"
@@ -500,6 +501,96 @@
 	RC_ASSERT(revision <= (uint64_t)INT64_MAX);
 }
 
+TEST(RateLimit, ParsesDecimalNumbers)
+{
+	EXPECT_DOUBLE_EQ(rate_limit_parse("2.5"), 2.5);
+	EXPECT_DOUBLE_EQ(rate_limit_parse("40"), 40);
+	EXPECT_GT(rate_limit_parse("0"), 0) << "a server is asked now and then";
+	for (const char *bad : {"", "-1", "x", "1x", "inf", "nan", "1e99"})
+		EXPECT_DOUBLE_EQ(rate_limit_parse(bad), 0) << bad;
+	EXPECT_DOUBLE_EQ(rate_limit_parse(nullptr), 0);
+}
+
+TEST(RateLimit, ALaterAnswerOfAnyNodeCounts)
+{
+	rate_limit l = {};
+
+	EXPECT_FALSE(rate_limit_hear(&l, 100, 0, true));
+	EXPECT_TRUE(rate_limit_allows(&l, 100));
+	EXPECT_TRUE(rate_limit_hear(&l, 200, 2, false));
+	EXPECT_FALSE(rate_limit_allows(&l, 200)) << "its part is not known yet";
+	EXPECT_FALSE(rate_limit_hear(&l, 150, 0, false)) << "older news";
+	EXPECT_TRUE(rate_limit_hear(&l, 300, 0, false));
+	EXPECT_TRUE(rate_limit_allows(&l, 300));
+	EXPECT_FALSE(rate_limit_hear(&l, 250, 2, false)) << "older news";
+}
+
+/*
+ * Nodes with more demand than the limit, each with its own view of its rank,
+ * off by one for some time when a node comes or goes.
+ */
+RC_GTEST_PROP(RateLimit, TheFleetKeepsToWhatAServerNames, ())
+{
+	const uint64_t window_ms = 4000;
+	auto nodes = *rc::gen::inRange<uint32_t>(2, 80);
+	double per_s = *rc::gen::inRange(2, 400) / 10.0;
+	std::vector<rate_limit> l(nodes);
+	std::vector<uint64_t> sent;
+
+	for (uint64_t now = 1000; now < 16000; now += 10) {
+		uint32_t gone = now / 5000 % 2;
+
+		for (uint32_t i = gone; i < nodes; i++) {
+			rate_limit_hear(&l[i], now, per_s, true);
+			rate_limit_set_rank(&l[i], i - gone, nodes - gone);
+			if (!rate_limit_allows(&l[i], now))
+				continue;
+			rate_limit_count(&l[i], now);
+			sent.push_back(now);
+		}
+	}
+	for (size_t first = 0, i = 0; i < sent.size(); i++) {
+		while (sent[i] - sent[first] > window_ms)
+			first++;
+		RC_ASSERT(i - first + 1 <= 1.5 * per_s * 4 + 5);
+	}
+	RC_ASSERT(sent.size() >= 0.8 * per_s * 15 - 1);
+}
+
+TEST(RateLimit, AServerOverItsLimitIsNotPicked)
+{
+	Servers s;
+	server_record *a = s.put("a");
+
+	rate_limit_hear(&a->limit, 1000, 0.5, true);
+	EXPECT_STREQ(s.pick({}, 1000), "none");
+	rate_limit_set_rank(&a->limit, 0, 1);
+	EXPECT_STREQ(s.pick({}, 1000), "a");
+	server_on_request_start(a, 1000);
+	EXPECT_STREQ(s.pick({}, 1100), "none");
+	EXPECT_STREQ(s.pick({}, 3000), "a");
+}
+
+TEST(RateLimit, NodesTellEachOtherWhatTheyHeardThemselves)
+{
+	Servers one, two;
+	fleet_wire_limits m;
+	server_record *a = one.put("a");
+
+	two.put("a");
+	EXPECT_FALSE(peer_limits_report(&one.t, 1000, "n", &m));
+	rate_limit_hear(&a->limit, 900, 2, true);
+	ASSERT_TRUE(peer_limits_report(&one.t, 1000, "n", &m));
+	ASSERT_EQ(m.n, 1u);
+	EXPECT_EQ(m.limit[0].age_ms, 100u);
+	ASSERT_NE(peer_limits_apply(&two.t, 5000, &m.limit[0]), nullptr);
+	EXPECT_STREQ(two.pick({}, 5000), "none");
+	EXPECT_FALSE(peer_limits_report(&two.t, 5000, "m", &m))
+		<< "hearsay is not repeated";
+	EXPECT_FALSE(peer_limits_report(&one.t, 901 + PEER_LIMITS_REPEAT_MS,
+					"n", &m));
+}
+
 TEST(RemovalLog, FindsTheRemovalsAfterARevision)
 {
 	removal_log r;
@@ -544,9 +635,9 @@
 	server_record *a = s.put("a");
 	pick_criteria c = {};
 	c.max_in_flight = 2;
-	server_on_request_start(a);
+	server_on_request_start(a, 0);
 	EXPECT_STREQ(s.pick(c), "a");
-	server_on_request_start(a);
+	server_on_request_start(a, 0);
 	EXPECT_STREQ(s.pick(c), "none");
 }
 
@@ -576,7 +667,7 @@
 	const char *first = s.pick(c);
 	for (int i = 0; i < 6; i++) {
 		ASSERT_STREQ(s.pick(c), first) << i;
-		server_on_request_start(server_find(&s.t, first));
+		server_on_request_start(server_find(&s.t, first), 0);
 	}
 	EXPECT_STRNE(s.pick(c), first)
 		<< "6 requests are three quarters of 8 slots";
@@ -626,7 +717,7 @@
 	Servers s;
 	server_record *a = s.put("a");
 	s.put("b");
-	server_on_request_start(a);
+	server_on_request_start(a, 0);
 	server_on_request_end(&s.t, a, 0, SERVER_CALL_TIMED_OUT, 0);
 	for (int i = 0; i < 20; i++)
 		EXPECT_STREQ(s.pick({}, 1), "b");
--- a/t/unit/shift_test.cc
+++ b/t/unit/shift_test.cc
@@ -381,6 +381,29 @@
 	n = fleet_wire_encode_loads(&l, kKey, buf, sizeof(buf));
 	ASSERT_EQ(fleet_wire_decode_loads(buf, n, kKey, &l2), PEER_WIRE_OK);
 	EXPECT_EQ(l2.load[0].prefill, 7u);
+
+	fleet_wire_limits m = {}, m2;
+	m.n = 2;
+	m.limit[0] = {9, 2.125, 350};
+	m.limit[1] = {8, 0, 0};
+	n = fleet_wire_encode_limits(&m, kKey, buf, sizeof(buf));
+	ASSERT_EQ(fleet_wire_kind_of(buf, n), FLEET_WIRE_LIMITS);
+	ASSERT_EQ(fleet_wire_decode_limits(buf, n, kKey, &m2), PEER_WIRE_OK);
+	ASSERT_EQ(m2.n, 2u);
+	EXPECT_EQ(m2.limit[0].server, 9u);
+	EXPECT_DOUBLE_EQ(m2.limit[0].per_s, 2.125);
+	EXPECT_EQ(m2.limit[0].age_ms, 350u);
+	EXPECT_DOUBLE_EQ(m2.limit[1].per_s, 0);
+}
+
+TEST(FleetCodec, AFullMessageOfLimitsFitsIntoADatagram)
+{
+	uint8_t buf[PEER_WIRE_MAX_BYTES];
+	fleet_wire_limits m = {};
+
+	memset(m.node, 'n', sizeof(m.node) - 1);
+	m.n = FLEET_WIRE_MAX_LIMITS;
+	EXPECT_GT(fleet_wire_encode_limits(&m, kKey, buf, sizeof(buf)), 0u);
 }
 
 RC_GTEST_PROP(FleetCodec, DamagedMessagesAreRejected, ())
--- a/wire/fleet-codec.c
+++ b/wire/fleet-codec.c
@@ -13,6 +13,7 @@
 #define PROC_SESSIONS 6
 #define PROC_LOADS 7
 #define PROC_SOURCE 8
+#define PROC_LIMITS 9
 #define PROC_OFFSET 20 /* of the procedure in an ONC RPC call, in bytes */
 
 /*
@@ -34,6 +35,8 @@
 		return FLEET_WIRE_LOADS;
 	case PROC_SOURCE:
 		return FLEET_WIRE_SOURCE;
+	case PROC_LIMITS:
+		return FLEET_WIRE_LIMITS;
 	default:
 		return FLEET_WIRE_MEMBERSHIP;
 	}
@@ -289,6 +292,61 @@
 	return error;
 }
 
+#define MILLI_PER_UNIT 1000.0
+
+/*
+ * Encodes and signs limits of servers. Returns the length in bytes, or 0 if it
+ * does not fit.
+ */
+size_t fleet_wire_encode_limits(const struct fleet_wire_limits *l,
+				const char *key, uint8_t *buf, size_t size)
+{
+	struct fleet_limit list[FLEET_WIRE_MAX_LIMITS];
+	struct fleet_limits w = {
+		.node = (char *)l->node,
+		.list = {.list_len = l->n, .list_val = list},
+	};
+
+	for (uint32_t i = 0; i < l->n; i++) {
+		list[i].server = l->limit[i].server;
+		list[i].per_s_milli = (u_int)MIN(
+			l->limit[i].per_s * MILLI_PER_UNIT, UINT32_MAX);
+		list[i].age_ms = l->limit[i].age_ms;
+	}
+	return encode(PROC_LIMITS, (xdrproc_t)xdr_fleet_limits, &w, key, buf,
+		      size);
+}
+
+/*
+ * Verifies and decodes limits of servers into `l`, which is zeroed on an error.
+ * Returns PEER_WIRE_OK or what was wrong.
+ */
+enum peer_wire_error fleet_wire_decode_limits(const uint8_t *buf, size_t len,
+					      const char *key,
+					      struct fleet_wire_limits *l)
+{
+	struct fleet_limits w;
+	enum peer_wire_error error;
+
+	memset(&w, 0, sizeof(w));
+	memset(l, 0, sizeof(*l));
+	error = decode(PROC_LIMITS, (xdrproc_t)xdr_fleet_limits, &w, key, buf,
+		       len);
+	if (error == PEER_WIRE_OK) {
+		g_strlcpy(l->node, w.node, sizeof(l->node));
+		l->n = MIN(w.list.list_len, FLEET_WIRE_MAX_LIMITS);
+		for (uint32_t i = 0; i < l->n; i++) {
+			const struct fleet_limit *from = &w.list.list_val[i];
+
+			l->limit[i].server = from->server;
+			l->limit[i].per_s = from->per_s_milli / MILLI_PER_UNIT;
+			l->limit[i].age_ms = from->age_ms;
+		}
+	}
+	xdr_free((xdrproc_t)xdr_fleet_limits, (char *)&w);
+	return error;
+}
+
 /*
  * Encodes and signs a source status. Returns the length in bytes, or 0 if it
  * does not fit.
--- a/wire/fleet-codec.h
+++ b/wire/fleet-codec.h
@@ -20,6 +20,7 @@
 	FLEET_WIRE_SESSIONS,
 	FLEET_WIRE_LOADS,
 	FLEET_WIRE_SOURCE,
+	FLEET_WIRE_LIMITS,
 };
 
 /* A node's counts in the roll-out of a service to its target version. */
@@ -70,6 +71,21 @@
 	struct fleet_wire_load load[FLEET_WIRE_MAX_LOADS];
 };
 
+#define FLEET_WIRE_MAX_LIMITS 64 /* in one message */
+
+/* What the sender heard of a server's limit, from the server itself. */
+struct fleet_wire_limit {
+	uint64_t server; /* hash of its id */
+	double per_s; /* 0: none any more */
+	uint32_t age_ms; /* of the answer that said so */
+};
+
+struct fleet_wire_limits {
+	char node[SHIFT_NAME_MAX];
+	uint32_t n;
+	struct fleet_wire_limit limit[FLEET_WIRE_MAX_LIMITS];
+};
+
 /*
  * Source status: the latest changes that the sender knows of. Sent by a node
  * that watches the source and whose source answers.
@@ -101,6 +117,11 @@
 enum peer_wire_error fleet_wire_decode_loads(const uint8_t *buf, size_t len,
 					     const char *key,
 					     struct fleet_wire_loads *l);
+size_t fleet_wire_encode_limits(const struct fleet_wire_limits *l,
+				const char *key, uint8_t *buf, size_t size);
+enum peer_wire_error fleet_wire_decode_limits(const uint8_t *buf, size_t len,
+					      const char *key,
+					      struct fleet_wire_limits *l);
 size_t fleet_wire_encode_source(const struct fleet_wire_source *s,
 				const char *key, uint8_t *buf, size_t size);
 enum peer_wire_error fleet_wire_decode_source(const uint8_t *buf, size_t len,
--- a/wire/fleet-xdr.c
+++ b/wire/fleet-xdr.c
@@ -210,6 +210,33 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fleet_limit (XDR *xdrs, fleet_limit *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->server))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->per_s_milli))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fleet_limits (XDR *xdrs, fleet_limits *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->node, FLEET_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, FLEET_LIMITS_MAX,
+		sizeof (fleet_limit), (xdrproc_t) xdr_fleet_limit))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fleet_source (XDR *xdrs, fleet_source *objp)
 {
--- a/wire/fleet.h
+++ b/wire/fleet.h
@@ -19,6 +19,7 @@
 #define FLEET_TOPICS 3
 #define FLEET_LOADS_MAX 48
 #define FLEET_SESSIONS_MAX 64
+#define FLEET_LIMITS_MAX 64
 
 struct fleet_cell {
 	u_quad_t route;
@@ -76,6 +77,22 @@
 };
 typedef struct fleet_loads fleet_loads;
 
+struct fleet_limit {
+	u_quad_t server;
+	u_int per_s_milli;
+	u_int age_ms;
+};
+typedef struct fleet_limit fleet_limit;
+
+struct fleet_limits {
+	char *node;
+	struct {
+		u_int list_len;
+		fleet_limit *list_val;
+	} list;
+};
+typedef struct fleet_limits fleet_limits;
+
 struct fleet_source {
 	char *node;
 	u_quad_t servers;
@@ -103,6 +120,8 @@
 extern  bool_t xdr_fleet_sessions (XDR *, fleet_sessions*);
 extern  bool_t xdr_fleet_load (XDR *, fleet_load*);
 extern  bool_t xdr_fleet_loads (XDR *, fleet_loads*);
+extern  bool_t xdr_fleet_limit (XDR *, fleet_limit*);
+extern  bool_t xdr_fleet_limits (XDR *, fleet_limits*);
 extern  bool_t xdr_fleet_source (XDR *, fleet_source*);
 extern  bool_t xdr_fleet_plan (XDR *, fleet_plan*);
 
@@ -113,6 +132,8 @@
 extern bool_t xdr_fleet_sessions ();
 extern bool_t xdr_fleet_load ();
 extern bool_t xdr_fleet_loads ();
+extern bool_t xdr_fleet_limit ();
+extern bool_t xdr_fleet_limits ();
 extern bool_t xdr_fleet_source ();
 extern bool_t xdr_fleet_plan ();
 
--- a/wire/fleet.x
+++ b/wire/fleet.x
@@ -11,6 +11,7 @@
 const FLEET_TOPICS = 3;
 const FLEET_LOADS_MAX = 48;
 const FLEET_SESSIONS_MAX = 64;
+const FLEET_LIMITS_MAX = 64;
 
 struct fleet_cell {
 	unsigned hyper route;
@@ -53,6 +54,17 @@
 	fleet_load list<FLEET_LOADS_MAX>;
 };
 
+struct fleet_limit {
+	unsigned hyper server;
+	unsigned int per_s_milli;
+	unsigned int age_ms;
+};
+
+struct fleet_limits {
+	string node<FLEET_NAME_MAX>;
+	fleet_limit list<FLEET_LIMITS_MAX>;
+};
+
 struct fleet_source {
 	string node<FLEET_NAME_MAX>;
 	unsigned hyper servers;
