servers: stop using a server that says in an answer that it leaves

Callers' requests could still go there, as only the server's entry counted; the entry may come late, or not at all while the store is away.

Ruled out: to believe a later answer without the field. Answers overtake each other, and one from before the notice would bring the server back.

Change: such an answer makes the server drain at this node until its entry is of another start (born), or was removed and added again without one. The digest that nodes compare holds the entry's state only, as before.

--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -404,6 +404,21 @@
 			  per_s, x->id);
 }
 
+/* Takes up what a server says of itself with an answer of its own. */
+static void read_server_notices(struct exchange_request *x,
+				const struct http_message_fields *fields)
+{
+	const struct header_names *names = x->g->header_names;
+	const char *leaving = http_message_find(fields, names->leaving);
+
+	read_rate_limit(x, http_message_find(fields, names->rate_limit));
+	if (leaving && !strcmp(leaving, "1") &&
+	    server_on_said_leaving(x->server))
+		log_event(LOG_EVENT_SERVER_CHANGED,
+			  "server=%s from=ready to=draining request=%s",
+			  x->server->id, x->id);
+}
+
 /*
  * Returns whether to escalate an answer, also by the attempts and the budget
  * left. Takes a retry from the budget if so.
@@ -486,8 +501,7 @@
 		(double)(gateway_now(x->g) - x->attempt_at) + TIME_OFFSET_MS;
 	read_load_header(x, http_message_find(head->fields, names->load));
 	if (h.id_matches && h.status != 421)
-		read_rate_limit(
-			x, http_message_find(head->fields, names->rate_limit));
+		read_server_notices(x, head->fields);
 	if (!retry_on_head(&x->answer, &h)) {
 		http_client_cancel(x->call);
 		return;
--- a/exchange/header-names.c
+++ b/exchange/header-names.c
@@ -12,6 +12,7 @@
 	.tenant = "X-Chivegw-Organisation",
 	.expect_server = "X-Chivegw-Server",
 	.load = "X-Chivegw-Load",
+	.leaving = "X-Chivegw-Leaving",
 	.rate_limit = "X-Chivegw-Rate-Limit",
 	.not_run = "X-Chivegw-Not-Run",
 	.model = "X-Chivegw-Model",
--- a/exchange/header-names.h
+++ b/exchange/header-names.h
@@ -12,6 +12,7 @@
 	const char *tenant; /* organisation of the client */
 	const char *expect_server; /* only the server of this id may run it */
 	const char *load; /* running,waiting,slots */
+	const char *leaving; /* "1": the server is about to leave */
 	const char *rate_limit; /* requests a second that the server takes */
 	const char *not_run; /* present if the server did not run the request */
 	const char *model;
--- a/exchange/servers.c
+++ b/exchange/servers.c
@@ -134,6 +134,7 @@
 static void reset_boot(struct server_record *s)
 {
 	s->draining = false;
+	s->said_leaving = false;
 	memset(&s->limit, 0, sizeof(s->limit));
 }
 
@@ -175,7 +176,8 @@
 	s->slots = entry->slots;
 	s->cold_until = entry->cold_ms ? now + entry->cold_ms : 0;
 	s->draining = is_draining(s, entry);
-	s->state = s->draining ? SERVER_DRAINING : SERVER_READY;
+	s->state =
+		s->draining || s->said_leaving ? SERVER_DRAINING : SERVER_READY;
 	s->removed_at = 0;
 	s->born = entry->born;
 	s->revision = entry->revision;
@@ -237,12 +239,13 @@
 		return false;
 	if (!s->removed_at)
 		s->removed_at = now;
-	return !s->draining || now - s->removed_at > SERVER_DRAINED_MEMORY_MS;
+	return !(s->draining || s->said_leaving) ||
+	       now - s->removed_at > SERVER_DRAINED_MEMORY_MS;
 }
 
 /*
  * Frees the removed servers that have no request of this node in flight. Those
- * that drained are kept for SERVER_DRAINED_MEMORY_MS, so that a restored source
+ * that were leaving are kept for SERVER_DRAINED_MEMORY_MS, so that a restored source
  * does not make them ready again.
  */
 void server_free_removed(struct server_table *t, uint64_t now)
@@ -258,7 +261,22 @@
 }
 
 /*
- * Returns a hash of which servers are not removed and which of them drain. It
+ * Handles an answer in which the server says that it leaves. Returns true if
+ * the server was ready until now.
+ */
+bool server_on_said_leaving(struct server_record *s)
+{
+	bool was_ready = s->state == SERVER_READY;
+
+	s->said_leaving = true;
+	if (was_ready)
+		s->state = SERVER_DRAINING;
+	return was_ready;
+}
+
+/*
+ * Returns a hash of which servers are not removed and which of them drain by
+ * their entries. It
  * does not depend on their order, so that nodes can compare it.
  */
 uint64_t server_table_digest(const struct server_table *t)
@@ -267,11 +285,11 @@
 
 	for (guint i = 0; i < t->all->len; i++) {
 		const struct server_record *s = t->all->pdata[i];
-		uint64_t state = s->state == SERVER_DRAINING;
+		uint64_t draining = s->draining;
 
 		if (s->state != SERVER_REMOVED)
-			digest ^= XXH3_64bits_withSeed(&s->hash,
-						       sizeof(s->hash), state);
+			digest ^= XXH3_64bits_withSeed(
+				&s->hash, sizeof(s->hash), draining);
 	}
 	return digest;
 }
--- a/exchange/servers.h
+++ b/exchange/servers.h
@@ -53,6 +53,7 @@
 	uint64_t born; /* of the entry */
 	/* By its entry, also by one that the source has lost since. */
 	bool draining;
+	bool said_leaving; /* in an answer; holds until its restart */
 	uint64_t removed_at; /* first seen so by server_free_removed() */
 	uint32_t in_flight; /* requests of this node */
 	uint32_t peer_in_flight; /* of the other nodes, by their reports */
@@ -114,6 +115,7 @@
 bool server_remove(struct server_table *t, const char *id, uint64_t revision);
 void server_begin_listing(struct server_table *t);
 uint32_t server_end_listing(struct server_table *t);
+bool server_on_said_leaving(struct server_record *s);
 void server_free_removed(struct server_table *t, uint64_t now);
 uint64_t server_table_digest(const struct server_table *t);
 
--- a/t/unit/exchange_test.cc
+++ b/t/unit/exchange_test.cc
@@ -475,6 +475,18 @@
 	EXPECT_EQ(server_find(&s.t, "a"), nullptr);
 }
 
+TEST(Servers, AServerThatSaysItLeavesIsNotUsedUntilItsRestart)
+{
+	Servers s;
+	EXPECT_TRUE(server_on_said_leaving(s.put("a")));
+	EXPECT_STREQ(s.pick({}), "none");
+	EXPECT_FALSE(server_on_said_leaving(server_find(&s.t, "a")));
+	s.put("a", "z1", "v1", false, 5);
+	EXPECT_STREQ(s.pick({}), "none") << "its entry was written again";
+	s.put("a", "z1", "v1", false, 6, 77);
+	EXPECT_STREQ(s.pick({}), "a") << "started again";
+}
+
 TEST(Servers, ALeavingServerIsReadyAgainAfterItsRestart)
 {
 	Servers s;
