servers: keep away from a server for as long as it asks

Callers waited for attempts that such a server had to refuse, and each cost the retry budget, so that some were refused while another server was free.

Cause: a refusal said nothing of the server's next seconds.

Ruled out: to tell the other nodes; the server speaks to one machine.

Change: the time, fractions included, takes the server out of the choice at this node. A refusal for want of a server names the time after which one may take a request again, by pauses and limits, 5 s at most.

Evidence: t0020 failed before (503 to a caller while another server was free) and passes, also with all servers pausing, where callers now get the time. A unit test is new; t0011, t0018 and t0019 pass.

--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -20,6 +20,8 @@
 #define MAX_KEPT_IDLE_MS 3000
 #define MAX_KEPT_IDLE_NON_REPEATABLE_MS 400
 #define MIN_SEND_TIME_MS 5 /* before the deadline */
+#define MAX_RETRY_AFTER_MS 5000 /* in refusals */
+#define MAX_PAUSE_S 3600.0 /* that a server can ask for */
 #define MAX_URGENCY 9 /* the least urgent */
 #define MIN_INTERVAL_EVENTS 3 /* for a mean time between events */
 #define MIN_SERVER_SAMPLE_EVENTS 5 /* the same, to rate the server by it */
@@ -86,6 +88,19 @@
 		  x->g->complete_revision[FEED_SERVERS]);
 }
 
+/* Returns when the client of a refused request should ask again, in ms. */
+static uint32_t retry_after_ms(const struct exchange_request *x,
+			       const struct retry_refusal *r)
+{
+	uint64_t wait_ms =
+		server_wait_ms(&x->g->servers, gateway_now(x->g), x->service);
+
+	if (!r->retry_after_ms)
+		return 0;
+	return MAX(r->retry_after_ms,
+		   (uint32_t)MIN(wait_ms, MAX_RETRY_AFTER_MS));
+}
+
 /* Ends the request with an error of the gateway's own. */
 static void send_refusal(struct exchange_request *x,
 			 const struct retry_refusal *r)
@@ -99,7 +114,7 @@
 	if (x->req)
 		exchange_refuse(x->g, x->req, r->status,
 				verdict_name(x->retry.verdict), r->reason,
-				r->retry_after_ms);
+				retry_after_ms(x, r));
 	finish_request(x);
 }
 
@@ -404,14 +419,34 @@
 			  per_s, x->id);
 }
 
+/* Takes up a time, in seconds, for which a refusing server wants no request. */
+static void read_pause(struct exchange_request *x, const char *value)
+{
+	uint64_t now = gateway_now(x->g);
+	double s = value && g_ascii_isdigit(*value)
+			   ? g_ascii_strtod(value, NULL)
+			   : 0;
+
+	if (!(s > 0))
+		return;
+	s = MIN(s, MAX_PAUSE_S);
+	if (server_may_get_request(x->server, now))
+		log_event(LOG_EVENT_SERVER_PAUSE,
+			  "server=%s pause_s=%.2f request=%s", x->server->id, s,
+			  x->id);
+	server_on_pause(x->server, now, (uint64_t)(1000 * s));
+}
+
 /* Takes up what a server says of itself with an answer of its own. */
-static void read_server_notices(struct exchange_request *x,
+static void read_server_notices(struct exchange_request *x, int status,
 				const struct http_message_fields *fields)
 {
 	const struct header_names *names = x->g->header_names;
 	const char *leaving = http_message_find(fields, names->leaving);
 
 	read_rate_limit(x, http_message_find(fields, names->rate_limit));
+	if (status == 503)
+		read_pause(x, http_message_find(fields, "retry-after"));
 	if (leaving && !strcmp(leaving, "1") &&
 	    server_on_said_leaving(x->server))
 		log_event(LOG_EVENT_SERVER_CHANGED,
@@ -501,7 +536,7 @@
 		(double)(gateway_now(x->g) - x->attempt_at) + TIME_OFFSET_MS;
 	read_load_header(x, http_message_find(head->fields, names->load));
 	if (h.id_matches && h.status != 421)
-		read_server_notices(x, head->fields);
+		read_server_notices(x, h.status, head->fields);
 	if (!retry_on_head(&x->answer, &h)) {
 		http_client_cancel(x->call);
 		return;
--- a/exchange/pick.c
+++ b/exchange/pick.c
@@ -80,7 +80,7 @@
 {
 	if (c->max_in_flight && s->in_flight >= c->max_in_flight)
 		return false;
-	if (!rate_limit_allows(&s->limit, now))
+	if (!server_may_get_request(s, now))
 		return false;
 	return s->state == SERVER_READY && !s->misdirected &&
 	       !strcmp(s->service, c->service) && version_matches(c, s) &&
--- a/exchange/rate-limit.c
+++ b/exchange/rate-limit.c
@@ -58,12 +58,23 @@
 	l->share_per_s = rank < senders ? l->per_s / senders : 0;
 }
 
+/*
+ * Returns from when on this node may send the server a request; UINT64_MAX if
+ * it must not.
+ */
+uint64_t rate_limit_allowed_at(const struct rate_limit *l)
+{
+	if (!l->per_s)
+		return 0;
+	if (!l->share_per_s)
+		return UINT64_MAX;
+	return l->next_at > BURST_MS ? l->next_at - BURST_MS : 0;
+}
+
 /* Returns whether this node may send the server a request now. */
 bool rate_limit_allows(const struct rate_limit *l, uint64_t now)
 {
-	if (!l->per_s)
-		return true;
-	return l->share_per_s > 0 && now + BURST_MS >= l->next_at;
+	return now >= rate_limit_allowed_at(l);
 }
 
 /* Counts a request that is sent to the server. */
--- a/exchange/rate-limit.h
+++ b/exchange/rate-limit.h
@@ -22,6 +22,7 @@
 bool rate_limit_hear(struct rate_limit *l, uint64_t answered_at, double per_s,
 		     bool heard_here);
 void rate_limit_set_rank(struct rate_limit *l, uint32_t rank, uint32_t nodes);
+uint64_t rate_limit_allowed_at(const struct rate_limit *l);
 bool rate_limit_allows(const struct rate_limit *l, uint64_t now);
 void rate_limit_count(struct rate_limit *l, uint64_t now);
 
--- a/exchange/servers.c
+++ b/exchange/servers.c
@@ -135,6 +135,7 @@
 {
 	s->draining = false;
 	s->said_leaving = false;
+	s->paused_until = 0;
 	memset(&s->limit, 0, sizeof(s->limit));
 }
 
@@ -260,6 +261,37 @@
 	}
 }
 
+/* Handles a refusal by which the server wants no request for some time. */
+void server_on_pause(struct server_record *s, uint64_t now, uint64_t ms)
+{
+	s->paused_until = MAX(s->paused_until, now + ms);
+}
+
+/* Returns whether a ready server wants requests of this node now. */
+bool server_may_get_request(const struct server_record *s, uint64_t now)
+{
+	return s->paused_until <= now && rate_limit_allows(&s->limit, now);
+}
+
+/*
+ * Returns how long no ready server of a service wants a request of this node,
+ * as far as the servers have said; 0 if one does or that is not known.
+ */
+uint64_t server_wait_ms(const struct server_table *t, uint64_t now,
+			const char *service)
+{
+	uint64_t at = UINT64_MAX;
+
+	for (guint i = 0; i < t->all->len; i++) {
+		const struct server_record *s = t->all->pdata[i];
+
+		if (s->state == SERVER_READY && !strcmp(s->service, service))
+			at = MIN(at, MAX(s->paused_until,
+					 rate_limit_allowed_at(&s->limit)));
+	}
+	return at == UINT64_MAX || at <= now ? 0 : at - now;
+}
+
 /*
  * Handles an answer in which the server says that it leaves. Returns true if
  * the server was ready until now.
--- a/exchange/servers.h
+++ b/exchange/servers.h
@@ -73,6 +73,7 @@
 	uint64_t ejected_until;
 	uint64_t ejection_streak; /* ejections without a success between */
 	struct rate_limit limit;
+	uint64_t paused_until; /* it wants no request of this node before */
 	bool misdirected; /* another server has its address */
 	bool listed; /* present in the listing being applied */
 };
@@ -115,6 +116,10 @@
 bool server_remove(struct server_table *t, const char *id, uint64_t revision);
 void server_begin_listing(struct server_table *t);
 uint32_t server_end_listing(struct server_table *t);
+void server_on_pause(struct server_record *s, uint64_t now, uint64_t ms);
+bool server_may_get_request(const struct server_record *s, uint64_t now);
+uint64_t server_wait_ms(const struct server_table *t, uint64_t now,
+			const char *service);
 bool server_on_said_leaving(struct server_record *s);
 void server_free_removed(struct server_table *t, uint64_t now);
 uint64_t server_table_digest(const struct server_table *t);
--- a/log-event.h
+++ b/log-event.h
@@ -51,6 +51,7 @@
 	X(SHIFT_PLAN, 421, MESSAGE, "roll-out plan")                           \
 	X(ROLLOUT_WRITTEN, 422, MESSAGE, "end of a roll-out written")          \
 	X(SERVER_CHANGED, 710, MESSAGE, "server changed state")                \
+	X(SERVER_PAUSE, 713, MESSAGE, "server asked for a pause")              \
 	X(SERVER_LIMIT, 712, MESSAGE, "server named a limit")                  \
 	X(SERVERS_LISTED, 711, MESSAGE, "servers listed")
 
--- a/t/unit/exchange_test.cc
+++ b/t/unit/exchange_test.cc
@@ -475,6 +475,24 @@
 	EXPECT_EQ(server_find(&s.t, "a"), nullptr);
 }
 
+TEST(Servers, AServerThatWantsAPauseIsNotUsedUntilThen)
+{
+	Servers s;
+	server_record *a = s.put("a");
+
+	EXPECT_EQ(server_wait_ms(&s.t, 1000, "s"), 0u);
+	server_on_pause(a, 1000, 3000);
+	server_on_pause(a, 1100, 10);
+	EXPECT_STREQ(s.pick({}, 3999), "none");
+	EXPECT_EQ(server_wait_ms(&s.t, 1500, "s"), 2500u);
+	EXPECT_STREQ(s.pick({}, 4000), "a");
+	s.put("b");
+	EXPECT_EQ(server_wait_ms(&s.t, 1500, "s"), 0u);
+	server_on_pause(a, 4000, 9000);
+	s.put("a", "z1", "v1", false, 5, 77);
+	EXPECT_TRUE(server_may_get_request(a, 4001)) << "started again";
+}
+
 TEST(Servers, AServerThatSaysItLeavesIsNotUsedUntilItsRestart)
 {
 	Servers s;
