rollout: count slow answers of a new version before they end

Of a version with half of its answers eight times slower, the fast half is known after a second, the slow half after 8 s; with 15 s for the roll-out nearly all that was known at 14 s was fast: 32 sent, 12 counted, and none of the slow ones. Then all traffic moved for one second, which the exposure limit allows, and the order was completed.

Ruled out: a longer wait before completion, which misses the time of good versions; a share of answers that must be known, alone: the fast answers of the last second make up for the slow ones of the trial.

Change: latency is counted after the first 8 events, of both versions, and an attempt that is overdue, slower by now than the test allows whatever still comes, is counted as slow at once. An order is completed only when 40 answers have been compared, or four fifths of those sent.

Two unit tests are new, the first failed before; the other, and those before, hold a good version to its time.

--- a/daemon/gateway.c
+++ b/daemon/gateway.c
@@ -10,6 +10,7 @@
 
 #include "daemon/gateway-metrics.h"
 #include "daemon/version.h"
+#include "exchange/exchange.h"
 #include "exchange/intake-task.h"
 #include "fleet/fleet-task.h"
 #include "fleet/state-task.h"
@@ -369,6 +370,7 @@
 	tick_count++;
 	fleet_task_tick(g->fleet, now);
 	peer_state_tick(g->peer_state, now);
+	exchange_check_overdue(g, now);
 	shift_task_tick(g->shifts, now);
 	peer_loads_apply(&g->peer_loads, now, &g->servers);
 	if (tick_count % CLEANUP_TICKS == 0) {
@@ -487,6 +489,7 @@
 	peer_loads_init(&g->peer_loads);
 	stream_lengths_init(&g->stream_lengths);
 	g->pending_requests = g_ptr_array_new();
+	g->measured_attempts = g_ptr_array_new();
 	budget_init(&g->budget, &no_retries);
 	apply_settings(g);
 	recent_sessions_init(&g->recent,
--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -59,6 +59,8 @@
 	struct fleet_task *fleet;
 	struct peer_state *peer_state;
 	struct shift_controller *shifts;
+	/* Attempts whose latency is to be counted for a roll-out. */
+	GPtrArray *measured_attempts; /* struct exchange_request */
 	struct recent_sessions recent;
 	uint64_t boot; /* random, differs between runs of a node */
 	/* Revision up to which all changes of a topic are known. */
--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -237,35 +237,97 @@
 	       (double)(x->attempt_events - 1);
 }
 
-/* Reports the attempt to the service's roll-out, if there is one. */
-static void report_to_rollout(struct exchange_request *x)
+static uint64_t route_hash(const struct exchange_request *x)
+{
+	return XXH3_64bits(x->route->name, strlen(x->route->name));
+}
+
+/* Returns the roll-out that the attempt is evidence for, or NULL. */
+static struct traffic_shift *attempt_rollout(const struct exchange_request *x)
+{
+	return x->rollout_active ? shift_task_find(x->g->shifts, x->service)
+				 : NULL;
+}
+
+/* Starts to measure the attempt's latency if a roll-out needs it. */
+static void begin_latency(struct exchange_request *x)
+{
+	x->latency_counted = x->fills || !attempt_rollout(x);
+	if (!x->latency_counted)
+		g_ptr_array_add(x->g->measured_attempts, x);
+}
+
+static void end_latency(struct exchange_request *x)
+{
+	if (!x->latency_counted)
+		g_ptr_array_remove_fast(x->g->measured_attempts, x);
+	x->latency_counted = true;
+}
+
+/* Counts the attempt's latency for the roll-out, once. */
+static void count_latency(struct exchange_request *x)
 {
-	struct traffic_shift *shift = shift_task_find(x->g->shifts, x->service);
-	struct shift_attempt a = {
-		.route = XXH3_64bits(x->route->name, strlen(x->route->name)),
-		.failed = true,
-		.fills = x->fills,
+	struct traffic_shift *shift = attempt_rollout(x);
+	uint64_t now = gateway_now(x->g);
+	struct shift_latency l = {
+		.route = route_hash(x),
+		.first_ms = x->head_ms,
+		.event_ms = attempt_event_ms(x),
+		.load = (x->load_at_start + server_load(x->server, now)) / 2,
 	};
 
-	if (!shift || !x->rollout_active)
+	if (x->latency_counted)
 		return;
-	if (x->answer.result == RETRY_RESULT_BROKEN)
+	end_latency(x);
+	if (x->attempt_events)
+		l.first_ms = (double)(x->first_event_at - x->attempt_at) +
+			     TIME_OFFSET_MS;
+	if (shift)
+		shift_on_latency(shift, x->version, &l);
+}
+
+/*
+ * Counts the attempts as slow that are so for certain though their latency is
+ * not known yet: a slow version would else be judged by its fast answers, which
+ * are known first.
+ */
+void exchange_check_overdue(struct gateway_state *g, uint64_t now)
+{
+	for (guint i = g->measured_attempts->len; i-- > 0;) {
+		struct exchange_request *x = g->measured_attempts->pdata[i];
+		struct traffic_shift *shift = attempt_rollout(x);
+		double load =
+			(x->load_at_start + server_load(x->server, now)) / 2;
+
+		if (shift && !shift_is_overdue(shift, route_hash(x), load,
+					       (double)(now - x->attempt_at)))
+			continue;
+		end_latency(x);
+		if (shift)
+			shift_on_overdue(shift, x->version, route_hash(x));
+	}
+}
+
+/* Reports the end of the attempt to the service's roll-out, if there is one. */
+static void report_to_rollout(struct exchange_request *x)
+{
+	struct traffic_shift *shift = attempt_rollout(x);
+
+	if (shift && x->answer.result == RETRY_RESULT_BROKEN)
 		server_on_broken_answer(x->server, gateway_now(x->g));
-	if (x->answer.result != RETRY_RESULT_COMPLETE)
+	if (!shift || x->answer.result != RETRY_RESULT_COMPLETE) {
+		end_latency(x);
 		return;
+	}
 	for (uint32_t n = server_take_broken_answers(x->server, x->attempt_at);
 	     n; n--)
-		shift_on_attempt(shift, x->version, &a);
-	a.failed = x->answer.status >= 500;
-	a.first_ms = x->head_ms;
-	if (x->attempt_events)
-		a.first_ms = (double)(x->first_event_at - x->attempt_at) +
-			     TIME_OFFSET_MS;
-	a.event_ms = attempt_event_ms(x);
-	a.load =
-		(x->load_at_start + server_load(x->server, gateway_now(x->g))) /
-		2;
-	shift_on_attempt(shift, x->version, &a);
+		shift_on_answer(shift, x->version, route_hash(x), true);
+	shift_on_answer(shift, x->version, route_hash(x),
+			x->answer.status >= 500);
+	if (x->answer.status < 500)
+		count_latency(x);
+	else
+		end_latency(x);
 }
 
 /* Updates what is known of the server by the attempt that has ended. */
@@ -568,6 +630,8 @@
 			(double)(x->first_event_at - x->attempt_at));
 		server_on_prefill_done(x->server, &x->work);
 	}
+	if (x->attempt_events == SHIFT_LATENCY_EVENTS)
+		count_latency(x);
 	if (x->call)
 		http_client_set_progress_limit(
 			x->call, retry_gap_timeout_ms(&x->retry, x->route));
@@ -691,6 +755,7 @@
 	shift = shift_task_find(x->g->shifts, x->service);
 	if (shift && x->rollout_active)
 		shift_on_sent(shift, x->version);
+	begin_latency(x);
 	if (x->route->kind == ROUTE_STREAMING)
 		shift_task_record_session(x->g->shifts, now, x->service,
 					  x->session, x->server->version);
--- a/exchange/exchange.h
+++ b/exchange/exchange.h
@@ -42,6 +42,7 @@
 	double head_ms; /* from the attempt's start to the answer's head */
 	bool rollout_active; /* a roll-out of the service is known */
 	enum shift_version version; /* valid with rollout_active */
+	bool latency_counted; /* for the roll-out */
 	bool fills; /* the roll-out is filling the server up to its slots */
 	double load_at_start; /* of the server when the attempt started */
 	uint64_t attempt_events;
@@ -66,6 +67,7 @@
 void exchange_start(struct gateway_state *g, struct http_server_request *req,
 		    const struct route_entry *route, route_handle org,
 		    const char *id);
+void exchange_check_overdue(struct gateway_state *g, uint64_t now);
 void exchange_refuse(struct gateway_state *g, struct http_server_request *req,
 		     int status, const char *verdict, const char *reason,
 		     uint32_t retry_after_ms);
--- a/rollout/shift.c
+++ b/rollout/shift.c
@@ -12,6 +12,8 @@
 #define TRIAL_SHARE_FACTOR 0.36 /* of expose_share */
 #define EXPOSURE_SAFETY_FACTOR 0.9 /* of the exposure limit */
 #define MIN_COMPARED_TO_FILL 40 /* answers with their latency compared */
+#define MIN_COMPARED_TO_COMPLETE 40
+#define MIN_COMPARED_SHARE 0.8 /* of those sent, if that is fewer */
 
 /* Full share and completion. */
 #define MOVE_START_FRACTION 0.5 /* of the time allowed */
@@ -113,13 +115,24 @@
 	return &e->routes[e->n_routes++];
 }
 
-/* Returns the baseline of a route, added if new; NULL if the table is full. */
-static struct shift_baseline *route_baseline(struct traffic_shift *s,
-					     uint64_t route)
+static const struct shift_baseline *find_baseline(const struct traffic_shift *s,
+						  uint64_t route)
 {
 	for (uint32_t i = 0; i < s->n_baselines; i++)
 		if (s->baselines[i].route == route)
 			return &s->baselines[i];
+	return NULL;
+}
+
+/* Returns the baseline of a route, added if new; NULL if the table is full. */
+static struct shift_baseline *route_baseline(struct traffic_shift *s,
+					     uint64_t route)
+{
+	struct shift_baseline *known =
+		(struct shift_baseline *)find_baseline(s, route);
+
+	if (known)
+		return known;
 	if (s->n_baselines == SHIFT_MAX_ROUTES)
 		return NULL;
 	s->baselines[s->n_baselines].route = route;
@@ -127,19 +140,19 @@
 }
 
 static void update_baseline(struct shift_baseline *b,
-			    const struct shift_attempt *a)
+			    const struct shift_latency *l)
 {
 	double weight, load_diff, event_diff_ms;
 
 	b->n++;
 	weight = MAX(BASELINE_WEIGHT, 1.0 / b->n);
-	b->first_ms += weight * (a->first_ms - b->first_ms);
-	if (a->event_ms <= 0)
+	b->first_ms += weight * (l->first_ms - b->first_ms);
+	if (l->event_ms <= 0)
 		return;
 	b->n_events++;
 	weight = MAX(BASELINE_WEIGHT, 1.0 / b->n_events);
-	load_diff = a->load - b->load;
-	event_diff_ms = a->event_ms - b->event_ms;
+	load_diff = l->load - b->load;
+	event_diff_ms = l->event_ms - b->event_ms;
 	b->load += weight * load_diff;
 	b->event_ms += weight * event_diff_ms;
 	b->load_variance = (1 - weight) *
@@ -164,45 +177,93 @@
 		   MIN_EVENT_INTERVAL_FACTOR * b->event_ms);
 }
 
+/* Returns after which time a first event, or a plain answer, is slow. */
+static double slow_first_ms(const struct shift_baseline *b)
+{
+	return (b->n_events ? SLOW_FIRST_EVENT_FACTOR
+			    : SLOW_PLAIN_ANSWER_FACTOR) *
+	       b->first_ms;
+}
+
 static bool is_slow(const struct shift_baseline *b,
-		    const struct shift_attempt *a)
+		    const struct shift_latency *l)
 {
 	if (b->n < MIN_BASELINE_ANSWERS)
 		return false;
-	if (a->event_ms > 0 && b->n_events >= MIN_BASELINE_ANSWERS &&
-	    a->event_ms >
-		    SLOW_EVENT_INTERVAL_FACTOR * expected_event_ms(b, a->load))
+	if (l->event_ms > 0 && b->n_events >= MIN_BASELINE_ANSWERS &&
+	    l->event_ms >
+		    SLOW_EVENT_INTERVAL_FACTOR * expected_event_ms(b, l->load))
 		return true;
-	return a->first_ms > (b->n_events ? SLOW_FIRST_EVENT_FACTOR
-					  : SLOW_PLAIN_ANSWER_FACTOR) *
-				     b->first_ms;
+	return l->first_ms > slow_first_ms(b);
+}
+
+/* Counts a complete answer of a server of the version. */
+void shift_on_answer(struct traffic_shift *s, enum shift_version version,
+		     uint64_t route, bool failed)
+{
+	uint32_t *errors = metric_counts(
+		counts_of_route(&s->own_evidence, route), version, SHIFT_ERROR);
+
+	errors[0]++;
+	errors[1] += failed;
+}
+
+static void count_latency(struct traffic_shift *s, enum shift_version version,
+			  uint64_t route, bool slow)
+{
+	uint32_t *counts =
+		metric_counts(counts_of_route(&s->own_evidence, route), version,
+			      SHIFT_LATENCY);
+
+	counts[0]++;
+	counts[1] += slow;
 }
 
 /*
- * Counts the result of an attempt at a server of the version. Returns whether
+ * Counts the latency of an attempt at a server of the version. Returns whether
  * it counts as slow: compared with the old version at the load of that server,
  * since servers of the new version have fewer requests during the trial.
  */
-bool shift_on_attempt(struct traffic_shift *s, enum shift_version version,
-		      const struct shift_attempt *a)
+bool shift_on_latency(struct traffic_shift *s, enum shift_version version,
+		      const struct shift_latency *l)
 {
-	struct shift_route_counts *c =
-		counts_of_route(&s->own_evidence, a->route);
-	struct shift_baseline *b = route_baseline(s, a->route);
-	uint32_t *errors = metric_counts(c, version, SHIFT_ERROR);
-	uint32_t *slow = metric_counts(c, version, SHIFT_LATENCY);
-	bool slow_answer;
+	struct shift_baseline *b = route_baseline(s, l->route);
+	bool slow;
 
-	errors[0]++;
-	errors[1] += a->failed;
-	if (a->failed || !b || a->fills)
+	if (!b)
 		return false;
-	slow_answer = is_slow(b, a);
-	slow[0]++;
-	slow[1] += slow_answer;
+	slow = is_slow(b, l);
+	count_latency(s, version, l->route, slow);
 	if (version == SHIFT_OLD)
-		update_baseline(b, a);
-	return slow_answer;
+		update_baseline(b, l);
+	return slow;
+}
+
+/*
+ * Returns whether an attempt whose latency is not known after elapsed_ms is
+ * certainly slow, so that it can be counted before its events have come.
+ */
+bool shift_is_overdue(const struct traffic_shift *s, uint64_t route,
+		      double load, double elapsed_ms)
+{
+	const struct shift_baseline *b = find_baseline(s, route);
+	double limit_ms;
+
+	if (!b || b->n < MIN_BASELINE_ANSWERS)
+		return false;
+	limit_ms = slow_first_ms(b);
+	if (b->n_events)
+		limit_ms += SLOW_EVENT_INTERVAL_FACTOR *
+			    (SHIFT_LATENCY_EVENTS - 1) *
+			    expected_event_ms(b, load);
+	return elapsed_ms > limit_ms;
+}
+
+/* Counts an attempt as slow whose latency is not known yet. */
+void shift_on_overdue(struct traffic_shift *s, enum shift_version version,
+		      uint64_t route)
+{
+	count_latency(s, version, route, true);
 }
 
 /*
@@ -423,6 +484,17 @@
 	return MIN(MAX_TRIAL_SHARE, TRIAL_SHARE_FACTOR * p->expose_share);
 }
 
+/* Returns how many answers of the new version have their latency compared. */
+static uint32_t compared_answers(struct shift_evidence *e)
+{
+	uint32_t compared = 0;
+
+	for (uint32_t i = 0; i < e->n_routes; i++)
+		compared += metric_counts(&e->routes[i], SHIFT_NEW,
+					  SHIFT_LATENCY)[0];
+	return compared;
+}
+
 /*
  * Returns whether the trial may fill new servers one after another, so that few
  * requests detect a version that fails only under load. The latency of a filled
@@ -431,12 +503,17 @@
  */
 static bool may_fill(struct shift_evidence *e)
 {
-	uint32_t compared = 0;
+	return compared_answers(e) >= MIN_COMPARED_TO_FILL;
+}
 
-	for (uint32_t i = 0; i < e->n_routes; i++)
-		compared += metric_counts(&e->routes[i], SHIFT_NEW,
-					  SHIFT_LATENCY)[0];
-	return compared >= MIN_COMPARED_TO_FILL;
+/*
+ * Returns whether what is known of the new version speaks for all of it. Fast
+ * answers are known before slow ones, so the first of them do not.
+ */
+static bool is_representative(struct shift_evidence *e)
+{
+	return compared_answers(e) >=
+	       MIN(MIN_COMPARED_TO_COMPLETE, MIN_COMPARED_SHARE * e->sent_new);
 }
 
 /*
@@ -445,11 +522,13 @@
  * order leaves.
  */
 static bool may_complete(const struct traffic_shift *s, uint64_t now,
-			 const struct shift_evidence *e)
+			 struct shift_evidence *e)
 {
 	uint32_t age_ms = shift_age_ms(s, now);
 	uint64_t full_share_ms = s->full_since ? now - s->full_since : 0;
 
+	if (!is_representative(e))
+		return false;
 	if (full_share_ms < MIN_FULL_SHARE_MS)
 		return full_share_ms >= SHORT_FULL_SHARE_MS &&
 		       age_ms + SHORT_END_RESERVE_MS >= s->time_limit_ms;
--- a/rollout/shift.h
+++ b/rollout/shift.h
@@ -91,14 +91,18 @@
 	SHIFT_LAST_NEW,
 };
 
-/* Result of an attempt at a server. */
-struct shift_attempt {
+/* Events of an answer after which its latency is compared. */
+#define SHIFT_LATENCY_EVENTS 8
+
+/*
+ * Latency of an attempt at a server, by its first SHIFT_LATENCY_EVENTS events,
+ * or all if the answer has fewer.
+ */
+struct shift_latency {
 	uint64_t route;
-	bool failed;
 	double first_ms; /* to the first event, or to the head if it has none */
 	double event_ms; /* mean time between events; 0: too few */
 	double load; /* mean number of requests at the server meanwhile */
-	bool fills; /* the trial was filling the server: only errors count */
 };
 
 /*
@@ -148,8 +152,14 @@
 void shift_free(struct traffic_shift *s);
 void shift_on_request(struct traffic_shift *s);
 void shift_on_sent(struct traffic_shift *s, enum shift_version version);
-bool shift_on_attempt(struct traffic_shift *s, enum shift_version version,
-		      const struct shift_attempt *a);
+void shift_on_answer(struct traffic_shift *s, enum shift_version version,
+		     uint64_t route, bool failed);
+bool shift_on_latency(struct traffic_shift *s, enum shift_version version,
+		      const struct shift_latency *l);
+bool shift_is_overdue(const struct traffic_shift *s, uint64_t route,
+		      double load, double elapsed_ms);
+void shift_on_overdue(struct traffic_shift *s, enum shift_version version,
+		      uint64_t route);
 bool shift_in_trial(const struct traffic_shift *s);
 bool shift_fills_servers(const struct traffic_shift *s);
 void shift_on_report(struct traffic_shift *s, uint64_t now,
--- a/t/unit/shift_test.cc
+++ b/t/unit/shift_test.cc
@@ -23,8 +23,10 @@
 	    bool failed, double first_ms, double event_ms, bool fills,
 	    double load = 1)
 {
-	shift_attempt a = {route, failed, first_ms, event_ms, load, fills};
-	shift_on_attempt(s, version, &a);
+	shift_latency l = {route, first_ms, event_ms, load};
+	shift_on_answer(s, version, route, failed);
+	if (!failed && !fills)
+		shift_on_latency(s, version, &l);
 }
 
 // A simulated fleet. All nodes report to node 0, which sends them its plan
@@ -41,6 +43,18 @@
 	int moved = 0; // sessions that changed version against the rules
 	uint64_t fiftieth_bad_at = 0, completed_at = 0;
 	shift_params params = kParams;
+	// A slow version: this share of its answers takes slow_ms to end, all
+	// others end_ms. The evidence has an answer only once it has ended.
+	double slow_share = 0;
+	uint64_t slow_ms = 0, end_ms = 0;
+	struct Running {
+		size_t node;
+		shift_version version;
+		bool failed, slow;
+		uint64_t began;
+		bool overdue = false;
+	};
+	std::multimap<uint64_t, Running> running; // by when it ends
 	// By session: whether its last request used the new version, and when.
 	std::map<uint64_t, std::pair<bool, uint64_t>> sessions;
 
@@ -122,7 +136,29 @@
 			    shift_announces_session(nodes[i], now, session))
 				recent_sessions_record(&recent[k], now, session,
 						       v == SHIFT_NEW ? 2 : 1);
-		answer(nodes[i], v, 1, failed, 100, 20, false);
+		bool slow = v == SHIFT_NEW && rng_unit(&r) < slow_share;
+		bad += slow;
+		running.insert(
+			{now + (slow ? slow_ms : end_ms), {i, v, failed, slow, now}});
+	}
+	// Counts the slow answers once they are overdue, and the others, and
+	// the errors of all, when they end.
+	void end_answers(uint64_t now)
+	{
+		for (auto &[end, a] : running) {
+			if (now % 100 || a.overdue ||
+			    !shift_is_overdue(nodes[a.node], 1, 1,
+					      (double)(now - a.began)))
+				continue;
+			a.overdue = true;
+			shift_on_overdue(nodes[a.node], a.version, 1);
+		}
+		while (!running.empty() && running.begin()->first <= now) {
+			Running a = running.begin()->second;
+			answer(nodes[a.node], a.version, 1, a.failed, 100,
+			       a.slow ? 160 : 20, a.overdue);
+			running.erase(running.begin());
+		}
 	}
 	// Simulates the time allowed, with 85 requests per second on average.
 	void run(double bad_share, uint64_t bad_from = 0)
@@ -132,6 +168,7 @@
 				exchange(now);
 			if (rng_below(&r, 1000) < 85)
 				request(now, bad_share, bad_from);
+			end_answers(now);
 		}
 	}
 };
@@ -194,6 +231,35 @@
 	}
 }
 
+// A slow answer is counted later than a fast one: those that have ended say
+// nothing of the version until most that were sent have.
+TEST(Shift, SlowVersionIsNotCompletedBeforeItsAnswersAreKnown)
+{
+	for (uint64_t slow_ms : {2000u, 8000u, 12000u}) {
+		for (uint64_t seed = 1; seed <= 10; seed++) {
+			Fleet f(9, 15000, seed);
+			f.slow_share = 0.5;
+			f.slow_ms = slow_ms;
+			f.end_ms = 400;
+			f.run(0);
+			EXPECT_EQ(f.completed_at, 0u) << "seed " << seed
+						      << " slow " << slow_ms;
+			EXPECT_LE(f.sent_new, 0.15 * f.requests + 30);
+		}
+	}
+}
+
+TEST(Shift, GoodVersionCompletesInAShortTimeThoughAnswersTakeLong)
+{
+	for (uint64_t seed = 1; seed <= 10; seed++) {
+		Fleet f(9, 15000, seed);
+		f.end_ms = 400;
+		f.run(0);
+		EXPECT_EQ(f.nodes[0]->plan.state, SHIFT_COMPLETED)
+			<< "seed " << seed;
+	}
+}
+
 TEST(Shift, BadRouteAmongGoodOnesIsDetected)
 {
 	traffic_shift *s = shift_new("s", "v2", 24000, 5000, 0);
