--- a/exchange/place-task.c
+++ b/exchange/place-task.c
@@ -82,8 +82,8 @@
 						     : PICK_OTHER_VERSIONS;
 	criteria->fill_share = 0;
 	criteria->fill_work_ms = 0;
-	if (x->version == SHIFT_NEW && criteria->weight > 0 &&
-	    (shift_in_trial(s) || shift_fills_servers(s)))
+	if (x->version == SHIFT_NEW && shift_in_trial(s) &&
+	    criteria->weight > 0)
 		set_trial_load(x, s, now, criteria);
 }
 
--- a/rollout/shift.c
+++ b/rollout/shift.c
@@ -12,13 +12,12 @@
 #define TRIAL_SHARE_FACTOR 0.36 /* of expose_share */
 #define EXPOSURE_SAFETY_FACTOR 0.9 /* of the exposure limit */
 #define MIN_COMPARED_TO_FILL 40 /* answers with their latency compared */
-#define MIN_COMPARED_TO_COMPLETE 20
+#define MIN_COMPARED_TO_COMPLETE 40
 #define MIN_COMPARED_SHARE 0.8 /* of those sent, if that is fewer */
 
 /* Full share and completion. */
 #define MOVE_START_FRACTION 0.5 /* of the time allowed */
-#define MIN_FULL_SHARE_MS 1200 /* at the full share before completion */
-#define MIN_FILL_MS 600 /* of filling before completion */
+#define MIN_FULL_SHARE_MS 1000 /* at the full share before completion */
 #define SHORT_FULL_SHARE_MS 300 /* the same if the full share came late */
 #define END_RESERVE_MS 1200 /* left of the time allowed at completion */
 #define SHORT_END_RESERVE_MS 700 /* the same if the full share came late */
@@ -313,8 +312,6 @@
 	s->plan = *plan;
 	if (plan->share == SHIFT_FULL_SHARE && !s->full_since)
 		s->full_since = now;
-	if (plan->fills && !s->fills_since)
-		s->fills_since = now;
 	shift_set_state(s, plan->state);
 }
 
@@ -499,26 +496,24 @@
 }
 
 /*
- * Returns whether what is known of the new version speaks for all of it. Fast
- * answers are known before slow ones, so the first of them do not.
+ * Returns whether the trial may fill new servers one after another, so that few
+ * requests detect a version that fails only under load. The latency of a filled
+ * server is not comparable with the old version's, so enough answers must have
+ * been compared before.
  */
-static bool is_representative(struct shift_evidence *e)
+static bool may_fill(struct shift_evidence *e)
 {
-	return compared_answers(e) >=
-	       MIN(MIN_COMPARED_TO_COMPLETE, MIN_COMPARED_SHARE * e->sent_new);
+	return compared_answers(e) >= MIN_COMPARED_TO_FILL;
 }
 
 /*
- * Returns whether to fill new servers one after another, so that few requests
- * detect a version that fails only under load. The latency of a filled server
- * is not comparable with the old version's, so enough answers must have been
- * compared before: more in a trial, which goes on.
+ * Returns whether what is known of the new version speaks for all of it. Fast
+ * answers are known before slow ones, so the first of them do not.
  */
-static bool may_fill(const struct traffic_shift *s, struct shift_evidence *e)
+static bool is_representative(struct shift_evidence *e)
 {
-	if (s->full_since)
-		return is_representative(e);
-	return compared_answers(e) >= MIN_COMPARED_TO_FILL;
+	return compared_answers(e) >=
+	       MIN(MIN_COMPARED_TO_COMPLETE, MIN_COMPARED_SHARE * e->sent_new);
 }
 
 /*
@@ -534,9 +529,6 @@
 
 	if (!is_representative(e))
 		return false;
-	if (s->fills_since && now - s->fills_since < MIN_FILL_MS &&
-	    age_ms + SHORT_END_RESERVE_MS < s->time_limit_ms)
-		return false;
 	if (full_share_ms < MIN_FULL_SHARE_MS)
 		return full_share_ms >= SHORT_FULL_SHARE_MS &&
 		       age_ms + SHORT_END_RESERVE_MS >= s->time_limit_ms;
@@ -563,7 +555,7 @@
 	if (!ready_new)
 		desired = plan.share;
 	plan.share = MAX(plan.share, desired);
-	plan.fills = plan.fills || may_fill(s, &sum);
+	plan.fills = plan.fills || may_fill(&sum);
 	if (may_complete(s, now, &sum) && ready_new)
 		plan.state = SHIFT_COMPLETED;
 	apply_plan(s, now, &plan);
@@ -576,14 +568,10 @@
 	return s->plan.state == SHIFT_IN_PROGRESS && !s->full_since;
 }
 
-/*
- * Returns whether new servers are filled one after another, until completion:
- * the share of a trial may be too small to fill even one, and the full share,
- * spread over all of them, loads none.
- */
+/* Returns whether the trial fills new servers one after another. */
 bool shift_fills_servers(const struct traffic_shift *s)
 {
-	return s->plan.state == SHIFT_IN_PROGRESS && s->plan.fills;
+	return shift_in_trial(s) && s->plan.fills;
 }
 
 /* Returns whether the hash falls within the share of SHIFT_FULL_SHARE. */
--- a/rollout/shift.h
+++ b/rollout/shift.h
@@ -143,7 +143,6 @@
 	uint32_t n_tests;
 	struct shift_plan plan; /* in force */
 	uint64_t full_since; /* when the share became full; 0: not yet */
-	uint64_t fills_since; /* when filling began; 0: not yet */
 	const char *failed_metric; /* name, if that reverted it; else NULL */
 };
 
