fleet: give revisions with an era only to nodes that know eras

Cause: found by thinking through a rolling upgrade. A node of the version before takes the revisions of a newer peer for later than any of its own source; it would then ignore its source's entries, and a complete list would remove all its servers. Callers at that node would be refused.

Ruled out: counting eras from the first one seen, which differs by node.

Change: a node says in its request for state that its revisions hold eras; without that it gets the configuration only, as that has versions of its own.

Evidence: the new check in t0017 fails before and passes; t0012 passes.

--- a/fleet/state-task.c
+++ b/fleet/state-task.c
@@ -23,6 +23,11 @@
  * not send it themselves.
  */
 #define CHANGES_ONLY_PARAM "&changes=1"
+/*
+ * Says that the requester's revisions hold the era. A node without it would
+ * take those of this node for later than any that its own source reports.
+ */
+#define ERAS_PARAM "&eras=1"
 #define CLUSTER_KEY_HEADER "X-Chivegw-Cluster-Key"
 
 struct peer_state {
@@ -153,6 +158,7 @@
 void peer_state_serve(struct gateway_state *g, struct http_server_request *req)
 {
 	const char *key = http_server_header(req, CLUSTER_KEY_HEADER);
+	bool knows_eras = strstr(http_server_path(req), ERAS_PARAM) != NULL;
 	struct json_object *o;
 
 	if (!is_cluster_key(g, key)) {
@@ -164,11 +170,11 @@
 				 query_number(http_server_path(req), "config="))
 		json_object_object_add(o, "config",
 				       json_object_get(g->config_doc));
-	if (g->topic_listed[FEED_SERVERS] &&
+	if (knows_eras && g->topic_listed[FEED_SERVERS] &&
 	    g->complete_revision[FEED_SERVERS] >
 		    query_number(http_server_path(req), "servers="))
 		add_servers(g, o, http_server_path(req));
-	if (g->topic_listed[FEED_ROLLOUTS] &&
+	if (knows_eras && g->topic_listed[FEED_ROLLOUTS] &&
 	    g->complete_revision[FEED_ROLLOUTS] >
 		    query_number(http_server_path(req), "rollouts=")) {
 		json_object_object_add(o, "rollouts",
@@ -318,7 +324,7 @@
 	g_autofree char *path = g_strdup_printf(
 		PEER_STATE_PATH
 		"?config=%" G_GUINT64_FORMAT "&servers=%" G_GUINT64_FORMAT
-		"&rollouts=%" G_GUINT64_FORMAT CHANGES_ONLY_PARAM,
+		"&rollouts=%" G_GUINT64_FORMAT CHANGES_ONLY_PARAM ERAS_PARAM,
 		g->routes ? g->routes->revision : 0,
 		g->complete_revision[FEED_SERVERS],
 		g->complete_revision[FEED_ROLLOUTS]);
--- a/t/t0017-store-restore.sh
+++ b/t/t0017-store-restore.sh
@@ -108,6 +108,11 @@
 knows_v3() { for n in 1 2 3; do grep -q 'E420 .*target=v3' "$WORK/route$n.log" || return 1; done; }
 until_true "$RESTORED_LIMIT_S" knows_v3 || fail "the order for v3 is not known"
 
+say "a node of a version that does not know eras gets no revisions that hold them"
+peer_state() { curl -fs -m 5 -H 'X-Chivegw-Cluster-Key: demo-cluster-key-0123456789' "http://127.0.0.1:$((BASE + 250))/peer/state?config=0&servers=0&rollouts=0&changes=1$1" | jq -r 'keys | join(" ")'; }
+expect "state for an older node" config "$(peer_state '')"
+expect "state for a node" "config rollouts rollouts_as_of rollouts_changed servers servers_as_of servers_changed" "$(peer_state '&eras=1')"
+
 say "no node ever put an older configuration in force"
 for n in 1 2 3; do
 	revisions=$(sed -n 's/.* E200 .*revision=\([0-9]*\) .*/\1/p' "$WORK/route$n.log")
