fleet: tell and take up a later era of the store at once

Cause: the first node notices within 2.4 s; the others wait for its next idle message, 0.6 s, and then half a second more, in case their own source reports the change. After a restore their source reports nothing, as their watches are lost.

Change: a node sends what it knows at once when that is new, and one that hears of a later era lists its source without waiting.

--- a/fleet/fleet-task.c
+++ b/fleet/fleet-task.c
@@ -37,6 +37,7 @@
 	uint64_t next_join_at; /* ms, as all times here */
 	uint64_t next_report_at;
 	bool sent_load; /* the last load message held at least one */
+	uint64_t sent_changed[FEED_TOPIC_COUNT]; /* in that message */
 	uint32_t idle_ticks; /* since that message */
 	bool following; /* leaves watching the source to other nodes */
 	uint64_t next_source_status_at;
@@ -352,7 +353,8 @@
 /*
  * Sends the load that this node puts on the servers to LOAD_FANOUT live
  * members, starting at a random one. Without a load it sends more seldom;
- * the message still says which changes this node knows.
+ * the message still says which changes this node knows, at once if these are
+ * new.
  */
 static void send_loads(struct fleet_task *t)
 {
@@ -362,13 +364,16 @@
 	bool any = peer_loads_report(&t->g->servers, t->g->settings->node, &l);
 	size_t len;
 
+	for (int i = 0; i < FEED_TOPIC_COUNT; i++)
+		l.changed[i] = t->g->latest_revision[i];
 	if (!members->len ||
-	    (!any && !t->sent_load && t->idle_ticks++ < IDLE_TICKS))
+	    (!any && !t->sent_load &&
+	     !memcmp(t->sent_changed, l.changed, sizeof(l.changed)) &&
+	     t->idle_ticks++ < IDLE_TICKS))
 		return;
 	t->sent_load = any;
 	t->idle_ticks = 0;
-	for (int i = 0; i < FEED_TOPIC_COUNT; i++)
-		l.changed[i] = t->g->latest_revision[i];
+	memcpy(t->sent_changed, l.changed, sizeof(l.changed));
 	len = fleet_wire_encode_loads(&l, t->g->settings->cluster_key, bytes,
 				      sizeof(bytes));
 	send_to_some(t, bytes, len);
@@ -510,8 +515,9 @@
 
 /*
  * Compares the changes that a peer knows of with those known here. If the
- * peer stays ahead for MAX_BEHIND_MS, this node's source does not report
- * changes any more: asks the peer for its state and reads the source again.
+ * peer stays ahead for MAX_BEHIND_MS, or knows a later era, this node's source
+ * does not report changes any more: asks the peer for its state and reads the
+ * source again.
  */
 static void compare_changes(struct fleet_task *t, const uint64_t *changed,
 			    uint32_t ip)
@@ -520,13 +526,17 @@
 	uint64_t now = gateway_now(g);
 
 	for (int i = 0; i < FEED_TOPIC_COUNT; i++) {
-		if (changed[i] <= latest_known_change(g, (enum feed_topic)i)) {
+		uint64_t known = latest_known_change(g, (enum feed_topic)i);
+		bool later_era = feed_revision_era(changed[i]) >
+				 feed_revision_era(known);
+
+		if (changed[i] <= known) {
 			t->behind_since[i] = 0;
 			continue;
 		}
 		if (!t->behind_since[i])
 			t->behind_since[i] = now;
-		else if (now - t->behind_since[i] > MAX_BEHIND_MS)
+		if (later_era || now - t->behind_since[i] > MAX_BEHIND_MS)
 			peer_state_on_newer(g->peer_state, now, ip,
 					    (enum feed_topic)i);
 	}
