--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -739,6 +739,8 @@
 	}
 	INVARIANT(x->server->state == SERVER_READY,
 		  "exchange: only a ready server gets a request");
+	INVARIANT(server_may_get_request(x->server, now),
+		  "exchange: no request for a server that wants none now");
 	if (x->n_tried < PICK_MAX_TRIED)
 		x->tried[x->n_tried++] = x->server->hash;
 	retry_begin_attempt(&x->retry, &x->answer);
