pick: ask for what a server is in one place

Cause: the linter could not follow is_candidate() any more and reported a null pointer that cannot be.

Change: what makes a server usable at all, its state, its address and what it said it wants, is a function of its own. No decision changes.

Evidence: lint clean for the file; unit-exchange_test passes, the mutant of the limit is killed.

--- a/exchange/pick.c
+++ b/exchange/pick.c
@@ -75,15 +75,21 @@
 	return true;
 }
 
+/* Returns whether the server could serve any request of this node now. */
+static bool is_available(const struct server_record *s, uint64_t now)
+{
+	return s->state == SERVER_READY && !s->misdirected &&
+	       server_may_get_request(s, now);
+}
+
 static bool is_candidate(const struct server_record *s, uint64_t now,
 			 const struct pick_criteria *c, bool ejected_too)
 {
-	if (c->max_in_flight && s->in_flight >= c->max_in_flight)
+	if (!is_available(s, now))
 		return false;
-	if (!server_may_get_request(s, now))
+	if (c->max_in_flight && s->in_flight >= c->max_in_flight)
 		return false;
-	return s->state == SERVER_READY && !s->misdirected &&
-	       !strcmp(s->service, c->service) && version_matches(c, s) &&
+	return !strcmp(s->service, c->service) && version_matches(c, s) &&
 	       !was_tried(c, s) && (ejected_too || s->ejected_until <= now);
 }
 
