--- a/exchange/feed-revision.h
+++ b/exchange/feed-revision.h
@@ -11,8 +11,7 @@
  */
 #define FEED_ERA_UNIT 1000000000000ULL /* revisions in an era */
 
-/* Returns the revision for the handlers of a source's own revision in an era.
- */
+/* Returns the revision made of an era and the source's own revision in it. */
 static inline uint64_t feed_revision(uint64_t era, uint64_t source_revision)
 {
 	return era * FEED_ERA_UNIT + source_revision;
