--- a/t/lib-routes.sh
+++ b/t/lib-routes.sh
@@ -34,9 +34,10 @@
 	put_server "$1" "$2" "${3:-v1}" ready
 }
 
-# put_server N SERVICE VERSION STATE: writes a backend server's object.
+# put_server N SERVICE VERSION STATE: writes a backend server's object; BORN is
+# the time of its start, if set.
 put_server() {
-	put_object "servers/i-$1" "{\"spec\":{\"service\":\"$2\",\"addr\":\"$(backend_address "$1")\",\"zone\":\"z1\",\"version\":\"$3\",\"slots\":8,\"state\":\"$4\",\"seq\":1}}"
+	put_object "servers/i-$1" "{\"spec\":{\"service\":\"$2\",\"addr\":\"$(backend_address "$1")\",\"zone\":\"z1\",\"version\":\"$3\",\"slots\":8,\"state\":\"$4\",\"seq\":1${BORN:+,\"born\":$BORN}}}"
 }
 
 # configure VERSION [EXTRA ROUTES]: writes a configuration. TIMEOUT_MS,
--- a/t/soak-routes.sh
+++ b/t/soak-routes.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
 # Randomised soak test of configured routes: soak-routes.sh SEED SECONDS. Three
 # nodes serve orders, reads and streams while nodes are killed, frozen, stopped
-# and reloaded, the store fails in every way, configurations and keys change,
-# backend servers leave and misbehave, and versions roll out. At the end:
+# and reloaded, the store fails in every way and is restored from a copy,
+# configurations and keys change, backend servers leave, misbehave, name limits
+# and ask for pauses, and versions roll out. At the end:
 #   - no order ran twice; one that was answered ran once; one that was refused
 #     as not run did not run;
 #   - no stream has a gap, a repeated event or the events of two runs;
@@ -21,6 +22,8 @@
 random_upto() { echo $((RANDOM % $1 + 1)); }
 # set_mode N MODE: sets a backend server's mode.
 set_mode() { curl -fs -m 2 -o /dev/null "http://$(backend_address "$1")/control/$2"; }
+# say_field N FIELD[/VALUE]: sets or drops a header field of a backend server.
+say_field() { curl -fs -m 2 -o /dev/null "http://$(backend_address "$1")/say/$2"; }
 # control_store JSON: sets the faults of the object API.
 control_store() { curl -fs -m 2 -o /dev/null -d "$1" "http://$STORE/control"; }
 VERSION=3
@@ -75,12 +78,13 @@
 	run "route$1" "$BUILD/chivegwd" --settings "$WORK/route$1.jsonc"
 }
 ROLLOUTS=0
+STARTS=0 # of backend servers, so far
 # inject_fault: strikes a random process with a random fault.
 inject_fault() {
 	local n b
 	n=$(random_upto 3) b=$(random_upto 4)
 	[ -n "${PIDS[route$n]:-}" ] || return 0
-	case $((RANDOM % 15)) in
+	case $((RANDOM % 19)) in
 	0) say "kill route$n" && crash "route$n" ;;
 	1) say "freeze route$n" && freeze "route$n" && sleep 1.$((RANDOM % 10)) && thaw "route$n" ;;
 	2) say "stop route$n" && kill -TERM "${PIDS[route$n]}" && wait "${PIDS[route$n]}" ;;
@@ -95,7 +99,15 @@
 	11) say "server $b answers with another request's id" && set_mode "$b" crossed ;;
 	12) say "server $b resets its answers" && set_mode "$b" unframed-cut ;;
 	13) say "server $b is frozen" && freeze "backend$b" && sleep 0.$((RANDOM % 9 + 1)) && thaw "backend$b" ;;
-	14)
+	14) say "server $b names a limit" && say_field "$b" "Server-Limit/$((RANDOM % 5 + 1)).5" ;;
+	15) say "server $b wants a pause" && say_field "$b" "Retry-After/0.$((RANDOM % 9 + 1))" && set_mode "$b" refuse ;;
+	16) say "server $b says that it leaves" && say_field "$b" Server-Leaving/1 ;;
+	17)
+		say "store is restored from a copy" && control_store '{"copy":true}' && change_config &&
+			control_store '{"lose":true,"mode":"silent"}' && sleep 0.$((RANDOM % 9 + 1)) &&
+			control_store '{"restore":true,"mode":"ok"}' && change_config
+		;;
+	18)
 		ROLLOUTS=$((ROLLOUTS + 1))
 		say "server $b gets a new version, rolled out" && put_server "$b" desk v2 ready &&
 			put_object rollouts/desk "{\"spec\":{\"service\":\"desk\",\"target\":\"v2\",\"over_s\":6}}"
@@ -105,7 +117,12 @@
 # clear_faults: lifts all faults and restarts the nodes that have exited.
 clear_faults() {
 	control_store '{"mode":"ok"}'
-	for b in 1 2 3 4; do set_mode "$b" none && put_server "$b" desk v1 ready; done
+	for b in 1 2 3 4; do
+		set_mode "$b" none
+		for field in Server-Limit Retry-After Server-Leaving; do say_field "$b" "$field"; done
+		STARTS=$((STARTS + 1))
+		BORN=$STARTS put_server "$b" desk v1 ready
+	done
 	for n in 1 2 3; do restart "$n"; done
 }
 end=$((SECONDS + DURATION_S))
