rollout: let the shift decide that filled servers are not compared

Change: the report says again that the server was being filled, and the shift leaves it out, as before; the unit test goes through it again.

--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -274,6 +274,7 @@
 		.first_ms = x->head_ms,
 		.event_ms = attempt_event_ms(x),
 		.load = (x->load_at_start + server_load(x->server, now)) / 2,
+		.fills = x->fills,
 	};
 
 	if (x->latency_counted)
--- a/rollout/shift.c
+++ b/rollout/shift.c
@@ -230,7 +230,7 @@
 	struct shift_baseline *b = route_baseline(s, l->route);
 	bool slow;
 
-	if (!b)
+	if (!b || l->fills)
 		return false;
 	slow = is_slow(b, l);
 	count_latency(s, version, l->route, slow);
--- a/rollout/shift.h
+++ b/rollout/shift.h
@@ -103,6 +103,7 @@
 	double first_ms; /* to the first event, or to the head if it has none */
 	double event_ms; /* mean time between events; 0: too few */
 	double load; /* mean number of requests at the server meanwhile */
+	bool fills; /* the trial was filling the server: it is not compared */
 };
 
 /*
--- a/t/unit/shift_test.cc
+++ b/t/unit/shift_test.cc
@@ -23,9 +23,9 @@
 	    bool failed, double first_ms, double event_ms, bool fills,
 	    double load = 1)
 {
-	shift_latency l = {route, first_ms, event_ms, load};
+	shift_latency l = {route, first_ms, event_ms, load, fills};
 	shift_on_answer(s, version, route, failed);
-	if (!failed && !fills)
+	if (!failed)
 		shift_on_latency(s, version, &l);
 }
 
