crash: move what finds crashing prompts into a slice of its own

No change of behaviour: exchange/crash-parts becomes crash/crash-keys, since what requests that crash servers have in common need not be a part of a prompt; the task that checks for crashes no longer includes daemon/gateway.h, exchange/servers.h or exchange/prompt.h. Names on the wire, of events and metrics stay.

--- a/exchange/crash-check-task.c
+++ b/crash/crash-check-task.c
@@ -1,21 +1,24 @@
-#include "exchange/crash-check-task.h"
+#include "crash/crash-check-task.h"
 
-#include <string.h>
-#include <uv.h>
-#include <xxhash.h>
+#include <glib.h>
 
-#include "daemon/gateway.h"
 #include "http/address.h"
 
 #define CONNECT_TIMEOUT_MS 250
 #define MAX_CHECKS 64 /* at the same time */
 
+struct crash_checks {
+	uv_loop_t *loop;
+	struct crash_keys *keys;
+	GPtrArray *checks; /* struct crash_check, in progress */
+};
+
 /*
  * A connection to a server that broke off an answer, which shows whether it has
  * crashed. Nothing is sent on it.
  */
 struct crash_check {
-	struct gateway_state *g;
+	struct crash_checks *task;
 	uint64_t server; /* hash of its id */
 	GArray *observations; /* struct crash_observation, valid if it has crashed */
 	uv_tcp_t tcp;
@@ -41,11 +44,11 @@
 		return;
 	k->ended = true;
 	for (guint i = 0; crashed && i < k->observations->len; i++)
-		crash_parts_add(&k->g->crash_parts,
-				&g_array_index(k->observations,
-					       struct crash_observation, i),
-				true);
-	g_ptr_array_remove_fast(k->g->crash_checks, k);
+		crash_keys_add(k->task->keys,
+			       &g_array_index(k->observations,
+					      struct crash_observation, i),
+			       true);
+	g_ptr_array_remove_fast(k->task->checks, k);
 	uv_close((uv_handle_t *)&k->tcp, on_closed);
 	uv_close((uv_handle_t *)&k->timer, on_closed);
 }
@@ -60,11 +63,11 @@
 	end_check(timer->data, true);
 }
 
-static struct crash_check *find_check(const struct gateway_state *g,
+static struct crash_check *find_check(const struct crash_checks *t,
 				      uint64_t server)
 {
-	for (guint i = 0; i < g->crash_checks->len; i++) {
-		struct crash_check *k = g->crash_checks->pdata[i];
+	for (guint i = 0; i < t->checks->len; i++) {
+		struct crash_check *k = t->checks->pdata[i];
 
 		if (k->server == server)
 			return k;
@@ -73,8 +76,8 @@
 }
 
 /* Starts to connect. Returns NULL if the address is invalid. */
-static struct crash_check *connect_to(struct gateway_state *g,
-				      const struct server_record *s)
+static struct crash_check *connect_to(struct crash_checks *t,
+				      const struct crash_suspicion *s)
 {
 	struct sockaddr_in sa;
 	struct crash_check *k;
@@ -82,15 +85,15 @@
 	if (!address_parse(s->address, &sa, NULL))
 		return NULL;
 	k = g_new0(struct crash_check, 1);
-	k->g = g;
-	k->server = s->hash;
+	k->task = t;
+	k->server = s->server;
 	k->observations =
 		g_array_new(FALSE, FALSE, sizeof(struct crash_observation));
 	k->open_handles = 2;
 	k->tcp.data = k->timer.data = k->connect.data = k;
-	uv_tcp_init(g->loop, &k->tcp);
-	uv_timer_init(g->loop, &k->timer);
-	g_ptr_array_add(g->crash_checks, k);
+	uv_tcp_init(t->loop, &k->tcp);
+	uv_timer_init(t->loop, &k->timer);
+	g_ptr_array_add(t->checks, k);
 	uv_timer_start(&k->timer, on_timeout, CONNECT_TIMEOUT_MS, 0);
 	if (uv_tcp_connect(&k->connect, &k->tcp, (struct sockaddr *)&sa,
 			   on_connect)) {
@@ -100,32 +103,44 @@
 	return k;
 }
 
+/*
+ * Allocates the task, which adds observations of crashes to `keys` and is never
+ * freed.
+ */
+struct crash_checks *crash_checks_new(uv_loop_t *loop, struct crash_keys *keys)
+{
+	struct crash_checks *t = g_new0(struct crash_checks, 1);
+
+	t->loop = loop;
+	t->keys = keys;
+	t->checks = g_ptr_array_new();
+	return t;
+}
+
 /*
  * Handles an answer that broke off early: finds out whether the server has
- * crashed, and if so, adds an observation of each part of the prompt that is not
- * known to be answered.
+ * crashed, and if so, adds an observation of each of the request's keys that is
+ * not known to be answered.
  */
-void crash_check_start(struct gateway_state *g, const struct server_record *s,
-		       const struct prompt_info *prompt, const char *request_id)
+void crash_checks_start(struct crash_checks *t, uint64_t now,
+			const struct crash_suspicion *s)
 {
-	struct crash_check *k = find_check(g, s->hash);
-	uint64_t now = gateway_now(g);
+	struct crash_check *k = find_check(t, s->server);
 
-	if (!k && g->crash_checks->len < MAX_CHECKS)
-		k = connect_to(g, s);
+	if (!k && t->checks->len < MAX_CHECKS)
+		k = connect_to(t, s);
 	if (!k)
 		return;
-	for (uint32_t i = 0; i < prompt->n_parts; i++) {
+	for (uint32_t i = 0; i < s->n_keys; i++) {
 		const struct crash_observation observation = {
-			.part = prompt->parts[i],
-			.server = s->hash,
-			.request = XXH3_64bits(request_id, strlen(request_id)),
+			.key = s->keys[i],
+			.server = s->server,
+			.request = s->request,
 			.depth = i,
 			.at = now,
 		};
 
-		if (!crash_parts_answered_at(&g->crash_parts, now,
-					     observation.part))
+		if (!crash_keys_answered_at(t->keys, now, s->keys[i]))
 			g_array_append_val(k->observations, observation);
 	}
 }
--- a/daemon/gateway-metrics.c
+++ b/daemon/gateway-metrics.c
@@ -64,7 +64,7 @@
 		     in_flight);
 	append_gauge(out, "parts_blocked",
 		     "parts of prompts that crash servers",
-		     crash_parts_count_blocked(&g->crash_parts));
+		     crash_keys_count_blocked(&g->crash_keys));
 }
 
 /*
--- a/daemon/gateway.c
+++ b/daemon/gateway.c
@@ -8,6 +8,7 @@
 #include <sys/random.h>
 #include <sys/stat.h>
 
+#include "crash/crash-check-task.h"
 #include "daemon/gateway-metrics.h"
 #include "daemon/version.h"
 #include "exchange/exchange.h"
@@ -371,14 +372,14 @@
 	server_free_removed(&g->servers, now);
 }
 
-static void log_crashing_part(void *user, const struct crash_part *p,
+static void log_crashing_part(void *user, const struct crash_key *p,
 			      uint32_t crashes, uint32_t requests)
 {
 	(void)user;
 	log_event(LOG_EVENT_PART_BLOCKED,
 		  "part=%" G_GINT64_MODIFIER "x blocked=%d crashes=%u "
 		  "requests=%u",
-		  p->part, p->blocked, crashes, requests);
+		  p->key, p->blocked, crashes, requests);
 }
 
 static void on_tick(uv_timer_t *timer)
@@ -389,7 +390,7 @@
 	tick_count++;
 	fleet_task_tick(g->fleet, now);
 	peer_state_tick(g->peer_state, now);
-	crash_parts_update(&g->crash_parts, now, log_crashing_part, NULL);
+	crash_keys_update(&g->crash_keys, now, log_crashing_part, NULL);
 	exchange_check_overdue(g, now);
 	shift_task_tick(g->shifts, now);
 	peer_loads_apply(&g->peer_loads, now, &g->servers);
@@ -508,8 +509,8 @@
 	server_table_init(&g->servers);
 	peer_loads_init(&g->peer_loads);
 	stream_lengths_init(&g->stream_lengths);
-	crash_parts_init(&g->crash_parts);
-	g->crash_checks = g_ptr_array_new();
+	crash_keys_init(&g->crash_keys);
+	g->crash_checks = crash_checks_new(g->loop, &g->crash_keys);
 	g->pending_requests = g_ptr_array_new();
 	g->measured_attempts = g_ptr_array_new();
 	budget_init(&g->budget, &no_retries);
--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -6,10 +6,10 @@
 #include <uv.h>
 
 #include "counters.h"
+#include "crash/crash-keys.h"
 #include "daemon/settings.h"
 #include "exchange/budget.h"
 #include "exchange/cascade.h"
-#include "exchange/crash-parts.h"
 #include "exchange/feed.h"
 #include "exchange/stream-lengths.h"
 #include "exchange/peer-loads.h"
@@ -24,6 +24,7 @@
 
 #define GATEWAY_ROUTE_KINDS 3 /* values of enum route_kind */
 
+struct crash_checks;
 struct platform_feed;
 struct fleet_task;
 struct peer_state;
@@ -51,8 +52,8 @@
 	struct server_table servers;
 	struct peer_loads peer_loads;
 	struct stream_lengths stream_lengths;
-	struct crash_parts crash_parts;
-	GPtrArray *crash_checks; /* struct crash_check, in progress */
+	struct crash_keys crash_keys;
+	struct crash_checks *crash_checks;
 	/* Requests that wait until every topic has been read once. */
 	GPtrArray *pending_requests; /* struct pending_request */
 	struct retry_budget budget;
--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -4,7 +4,7 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "exchange/crash-check-task.h"
+#include "crash/crash-check-task.h"
 #include "exchange/intake-task.h"
 #include "exchange/load-limit.h"
 #include "invariant.h"
@@ -335,6 +335,20 @@
 		end_latency(x);
 }
 
+/* Finds out whether the server that broke off the attempt has crashed. */
+static void check_for_crash(const struct exchange_request *x, uint64_t now)
+{
+	const struct crash_suspicion s = {
+		.address = x->server->address,
+		.server = x->server->hash,
+		.request = XXH3_64bits(x->id, strlen(x->id)),
+		.keys = x->prompt.parts,
+		.n_keys = x->prompt.n_parts,
+	};
+
+	crash_checks_start(x->g->crash_checks, now, &s);
+}
+
 /* Relates the end of the attempt to the parts of the prompt. */
 static void record_prompt_outcome(struct exchange_request *x,
 				  enum http_client_outcome end)
@@ -346,12 +360,12 @@
 	/* An answer without a length may be incomplete. */
 	if (x->answer.result == RETRY_RESULT_COMPLETE && !x->unframed &&
 	    x->answer.status < 300)
-		crash_parts_on_answer(&x->g->crash_parts, now, x->prompt.parts,
-				      x->prompt.n_parts);
+		crash_keys_on_answer(&x->g->crash_keys, now, x->prompt.parts,
+				     x->prompt.n_parts);
 	if (x->answer.result == RETRY_RESULT_BROKEN && ended_early &&
 	    x->prompt.n_parts &&
 	    (end == HTTP_CLIENT_INTERRUPTED || x->unframed))
-		crash_check_start(x->g, x->server, &x->prompt, x->id);
+		check_for_crash(x, now);
 }
 
 /* Relates the status of an answer to the load of its server. */
@@ -760,8 +774,8 @@
 	uint64_t now = gateway_now(x->g);
 	struct traffic_shift *shift;
 	const struct retry_context s = retry_context_of(x);
-	uint64_t blocked_ms = crash_parts_blocked_ms(
-		&x->g->crash_parts, now, x->prompt.parts, x->prompt.n_parts);
+	uint64_t blocked_ms = crash_keys_blocked_ms(
+		&x->g->crash_keys, now, x->prompt.parts, x->prompt.n_parts);
 
 	INVARIANT(retry_may_send(&x->retry),
 		  "exchange: a request that may have run is not sent again");
--- a/fleet/findings-task.c
+++ b/fleet/findings-task.c
@@ -38,22 +38,22 @@
  */
 static void send_crashes(struct findings_task *t, uint64_t now)
 {
-	struct crash_parts *c = &t->g->crash_parts;
+	struct crash_keys *c = &t->g->crash_keys;
 	uint8_t bytes[PEER_WIRE_MAX_BYTES];
 	struct fleet_wire_crashes m = {.n_answered = 0};
 
-	m.n = crash_parts_take_news(c, m.observation, FLEET_WIRE_MAX_CRASHES);
+	m.n = crash_keys_take_news(c, m.observation, FLEET_WIRE_MAX_CRASHES);
 	if (m.n)
 		fleet_task_send_to_all(t->fleet, bytes,
 				       encode_crashes(t, now, &m, bytes));
 	m.n = 0;
-	if (now - t->g->started_at < ASK_MS && !crash_parts_count_blocked(c))
+	if (now - t->g->started_at < ASK_MS && !crash_keys_count_blocked(c))
 		fleet_task_send_to_some(t->fleet, ASK_FANOUT, bytes,
 					encode_crashes(t, now, &m, bytes));
 	if (now < t->next_summary_at)
 		return;
 	t->next_summary_at = now + SUMMARY_INTERVAL_MS;
-	m.n = crash_parts_summary(c, m.observation, FLEET_WIRE_MAX_CRASHES);
+	m.n = crash_keys_summary(c, m.observation, FLEET_WIRE_MAX_CRASHES);
 	if (m.n)
 		fleet_task_send_to_some(t->fleet, SUMMARY_FANOUT, bytes,
 					encode_crashes(t, now, &m, bytes));
@@ -113,8 +113,8 @@
 	uint8_t bytes[PEER_WIRE_MAX_BYTES];
 	struct fleet_wire_crashes m = {.n_answered = 0};
 
-	m.n = crash_parts_summary(&t->g->crash_parts, m.observation,
-				  FLEET_WIRE_MAX_CRASHES);
+	m.n = crash_keys_summary(&t->g->crash_keys, m.observation,
+				 FLEET_WIRE_MAX_CRASHES);
 	if (m.n)
 		fleet_task_send(
 			t->fleet, to, bytes,
@@ -136,9 +136,9 @@
 	    CONTRADICTIONS)
 		return;
 	for (uint32_t i = 0; i < heard->n; i++) {
-		uint64_t part = heard->observation[i].part;
+		uint64_t part = heard->observation[i].key;
 		uint64_t at =
-			crash_parts_answered_at(&t->g->crash_parts, now, part);
+			crash_keys_answered_at(&t->g->crash_keys, now, part);
 
 		if (!at)
 			continue;
@@ -166,12 +166,12 @@
 		struct crash_observation *s = &m.observation[i];
 
 		s->at = now - MIN(now, s->at);
-		crash_parts_add(&t->g->crash_parts, s, false);
+		crash_keys_add(&t->g->crash_keys, s, false);
 	}
 	for (uint32_t i = 0; i < m.n_answered; i++)
-		crash_parts_on_peer_answer(&t->g->crash_parts,
-					   now - MIN(now, m.answered_age_ms[i]),
-					   m.answered[i]);
+		crash_keys_on_peer_answer(&t->g->crash_keys,
+					  now - MIN(now, m.answered_age_ms[i]),
+					  m.answered[i]);
 	if (m.n)
 		send_answered_parts(t, sender, &m);
 }
--- a/t/unit/crash_parts_test.cc
+++ b/t/unit/crash_keys_test.cc
@@ -3,7 +3,7 @@
 #include <vector>
 
 extern "C" {
-#include "exchange/crash-parts.h"
+#include "crash/crash-keys.h"
 }
 
 namespace {
@@ -11,17 +11,17 @@
 constexpr uint64_t kShared = 1, kBad = 2, kOther = 3;
 
 struct Parts {
-	crash_parts c;
+	crash_keys c;
 	std::vector<uint64_t> log; // parts that were blocked or released
 
-	Parts() { crash_parts_init(&c); }
-	~Parts() { crash_parts_clear(&c); }
+	Parts() { crash_keys_init(&c); }
+	~Parts() { crash_keys_clear(&c); }
 	void add(uint64_t part, uint64_t server, uint64_t request, uint64_t at,
 		 uint32_t depth = 1)
 	{
 		const crash_observation s = {part, server, request, depth, at};
 
-		crash_parts_add(&c, &s, true);
+		crash_keys_add(&c, &s, true);
 	}
 	// A request with the shared part and another one crashes servers.
 	void crash(uint64_t part, uint64_t request, uint64_t at,
@@ -35,17 +35,17 @@
 	}
 	void update(uint64_t now)
 	{
-		crash_parts_update(
+		crash_keys_update(
 			&c, now,
-			[](void *user, const crash_part *p, uint32_t,
+			[](void *user, const crash_key *p, uint32_t,
 			   uint32_t) {
-				((Parts *)user)->log.push_back(p->part);
+				((Parts *)user)->log.push_back(p->key);
 			},
 			this);
 	}
 	uint64_t blocked_ms(uint64_t now, uint64_t part)
 	{
-		return crash_parts_blocked_ms(&c, now, &part, 1);
+		return crash_keys_blocked_ms(&c, now, &part, 1);
 	}
 };
 
@@ -66,7 +66,7 @@
 {
 	Parts p;
 
-	crash_parts_on_answer(&p.c, 900, &kShared, 1);
+	crash_keys_on_answer(&p.c, 900, &kShared, 1);
 	for (uint64_t i = 0; i < 5; i++)
 		p.crash(100 + i, 200 + i, 1000 + 300 * i, {2 * i, 2 * i + 1});
 	p.update(3000);
@@ -96,7 +96,7 @@
 	p.update(1500);
 	EXPECT_GT(p.blocked_ms(1500, kOther), 0u);
 	p.crash(kBad, 102, 2000, {5, 6});
-	crash_parts_on_answer(&p.c, 2100, &kShared, 1);
+	crash_keys_on_answer(&p.c, 2100, &kShared, 1);
 	p.update(2200);
 	EXPECT_GT(p.blocked_ms(2200, kBad), 0u);
 	EXPECT_EQ(p.blocked_ms(2200, kOther), 0u);
@@ -133,7 +133,7 @@
 	p.crash(kBad, 101, 1300, {3, 4});
 	p.update(1500);
 	ASSERT_GT(p.blocked_ms(1500, kBad), 0u);
-	crash_parts_on_peer_answer(&p.c, 1400, kBad);
+	crash_keys_on_peer_answer(&p.c, 1400, kBad);
 	p.update(1600);
 	EXPECT_EQ(p.blocked_ms(1600, kBad), 0u);
 }
@@ -162,16 +162,16 @@
 
 	p.crash(kBad, 100, 1000, {1, 2, 3});
 	p.crash(kBad, 101, 1300, {4, 5, 6});
-	while ((n = crash_parts_take_news(&p.c, out, 8)))
+	while ((n = crash_keys_take_news(&p.c, out, 8)))
 		total += n;
 	EXPECT_EQ(total, 3 * 12u);
 	p.update(1700);
 	for (int i = 0; i < 4; i++) {
-		n = crash_parts_summary(&p.c, out, 2);
+		n = crash_keys_summary(&p.c, out, 2);
 		for (uint32_t k = 0; k < n; k++)
-			crash_parts_add(&other.c, &out[k], false);
+			crash_keys_add(&other.c, &out[k], false);
 	}
-	EXPECT_EQ(crash_parts_take_news(&other.c, out, 8), 0u);
+	EXPECT_EQ(crash_keys_take_news(&other.c, out, 8), 0u);
 	other.update(1700);
 	EXPECT_GT(other.blocked_ms(1700, kBad), 0u);
 }
@@ -187,9 +187,9 @@
 		p.add(1000 + i, i, i, 2000 + i);
 		p.add(kBad, i, i, 2000 + i);
 		const uint64_t answered = 10000 + i;
-		crash_parts_on_answer(&p.c, 2000 + i, &answered, 1);
+		crash_keys_on_answer(&p.c, 2000 + i, &answered, 1);
 	}
-	EXPECT_EQ(p.c.parts->len, (guint)CRASH_PARTS_MAX);
+	EXPECT_EQ(p.c.keys->len, (guint)CRASH_KEYS_MAX);
 	p.update(5000);
 	EXPECT_GT(p.blocked_ms(5000, kBad), 0u);
 }
--- a/t/unit/exchange_test.cc
+++ b/t/unit/exchange_test.cc
@@ -12,7 +12,7 @@
 #include "exchange/cascade.h"
 #include "exchange/events.h"
 #include "exchange/feed-revision.h"
-#include "exchange/crash-parts.h"
+#include "crash/crash-keys.h"
 #include "exchange/peer-limits.h"
 #include "exchange/peer-loads.h"
 #include "exchange/prompt.h"
--- a/wire/fleet-codec.c
+++ b/wire/fleet-codec.c
@@ -411,7 +411,7 @@
 	};
 
 	for (uint32_t i = 0; i < m->n; i++) {
-		list[i].part = m->observation[i].part;
+		list[i].part = m->observation[i].key;
 		list[i].server = m->observation[i].server;
 		list[i].request = m->observation[i].request;
 		list[i].depth = m->observation[i].depth;
@@ -447,7 +447,7 @@
 		for (uint32_t i = 0; i < m->n; i++) {
 			const struct fleet_crash *from = &w.list.list_val[i];
 
-			m->observation[i].part = from->part;
+			m->observation[i].key = from->part;
 			m->observation[i].server = from->server;
 			m->observation[i].request = from->request;
 			m->observation[i].depth = from->depth;
--- a/wire/fleet-codec.h
+++ b/wire/fleet-codec.h
@@ -5,7 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "exchange/crash-parts.h"
+#include "crash/crash-keys.h"
 #include "rollout/shift.h"
 #include "wire/codec.h"
 
