--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include "crash/crash-check-task.h"
+#include "crash/fingerprint.h"
 #include "exchange/intake-task.h"
 #include "exchange/load-limit.h"
 #include "invariant.h"
@@ -429,13 +430,15 @@
 		  "request=%s server=%s address=%s attempt=%u result=%s end=%s "
 		  "status=%d "
 		  "ms=%" G_GUINT64_FORMAT " last_event=%" G_GUINT64_FORMAT
-		  " next=%s load=%.0f parts=%s",
+		  " next=%s load=%.0f fingerprint=%016" G_GINT64_MODIFIER
+		  "x parts=%s",
 		  x->id, x->server->id, x->server->address, x->retry.sent,
 		  retry_result_name(x->answer.result),
 		  http_client_outcome_name(end), x->answer.status,
 		  gateway_now(x->g) - x->attempt_at, x->events.last_id,
 		  retry_step_name(step),
-		  server_load(x->server, gateway_now(x->g)), parts);
+		  server_load(x->server, gateway_now(x->g)), x->fingerprint,
+		  parts);
 }
 
 /* Decides on the next step after an attempt and takes it. */
@@ -858,6 +861,21 @@
 	x->model = x->route->models[x->model_index];
 }
 
+/* The caller is the organisation, or none on a public route. */
+static uint64_t request_fingerprint(struct http_server_request *req,
+				    const char *caller)
+{
+	struct fingerprint_input in = {
+		.method = http_server_method(req),
+		.host = http_server_header(req, "host"),
+		.path = http_server_path(req),
+		.caller = caller,
+	};
+
+	in.body = http_server_body(req, &in.body_len);
+	return fingerprint_of(&in);
+}
+
 static struct exchange_request *new_request(struct gateway_state *g,
 					    struct http_server_request *req,
 					    const struct route_entry *route,
@@ -882,6 +900,7 @@
 			x->urgency = g->routes->orgs[org].priority;
 	}
 	x->urgency = MIN(x->urgency, MAX_URGENCY);
+	x->fingerprint = request_fingerprint(req, x->org);
 	prompt_parse(&x->prompt,
 		     http_server_header(req, g->header_names->prefix),
 		     http_server_header(req, g->header_names->tokens));
--- a/exchange/exchange.h
+++ b/exchange/exchange.h
@@ -16,6 +16,7 @@
 	const struct route_entry *route;
 	const char *service; /* owned by `routes` */
 	char *id; /* the client's request id */
+	uint64_t fingerprint; /* the same for all repeats by the client */
 	const char *org; /* name, owned by `routes`; NULL: none */
 	uint32_t urgency; /* 0 is the most urgent */
 	uint64_t started_at; /* ms of the node's clock, as all times here */
