--- a/t/helper/backend.c
+++ b/t/helper/backend.c
@@ -39,9 +39,11 @@
  * GET /say/FIELD/VALUE adds a header field to all responses, GET /say/FIELD
  * drops it. With the argument CRASH_PART, the server crashes CRASH_DELAY_MS after
  * it has begun to answer a request with that part in its prompt: it resets all
- * connections and accepts none for CRASH_DOWN_MS. GET /crashes lists when it
- * did so, as GET /arrived. GET /arrived lists when requests arrived, refused ones too, one a
- * line: ms of the machine's steady clock, id.
+ * connections and accepts none for CRASH_DOWN_MS. POST /crash-on with "TENANT PATH
+ * BODY" makes it do so CRASH_DELAY_MS after it has begun to run such a request,
+ * GET /crash at once. GET /crashes lists when it crashed, as GET /arrived. GET
+ * /arrived lists when requests arrived, refused ones too, one a line: ms of the
+ * machine's steady clock, id.
  * GET /ran lists the requests that ran, one a line: id, method, path, tenant,
  * deadline, model, last event id, body length, key, instance. GET /gone returns
  * the number of clients that disconnected while their request ran.
@@ -85,6 +87,7 @@
 static char *forced_mode; /* for all requests, or NULL */
 static const char *instance;
 static const char *crash_part; /* NULL: none */
+static GPtrArray *crash_requests; /* of POST /crash-on, texts */
 static GString *crash_log; /* what GET /crashes returns */
 static GPtrArray *conns; /* open ones */
 static struct sockaddr_in listen_address;
@@ -325,6 +328,25 @@
 	return false;
 }
 
+/* Returns whether POST /crash-on named the request. */
+static bool is_crash_request(const char *tenant, const char *path,
+			     const char *body)
+{
+	g_autofree char *text =
+		g_strdup_printf("%s %s %s", tenant ? tenant : "-", path, body);
+
+	for (guint i = 0; i < crash_requests->len; i++)
+		if (!strcmp(text, crash_requests->pdata[i]))
+			return true;
+	return false;
+}
+
+static void schedule_crash(uint64_t delay_ms)
+{
+	if (!down && !uv_is_active((uv_handle_t *)&crash_timer))
+		uv_timer_start(&crash_timer, on_crash_timer, delay_ms, 0);
+}
+
 /* Streams the events after the one with the id `last_event`. */
 static void start_stream(struct conn *c, int last_event)
 {
@@ -466,7 +488,7 @@
 	return strcmp(mode, "refuse") != 0 && strcmp(mode, "other") != 0;
 }
 
-static void handle_request(struct conn *c, char *head, size_t body_len)
+static void handle_request(struct conn *c, char *head, const char *body)
 {
 	g_auto(GStrv) line = g_strsplit(head, " ", 3);
 	g_autofree char *tenant = header_value(head, "X-Chivegw-Tenant");
@@ -478,6 +500,7 @@
 		header_value(head, "X-Chivegw-Expect-Instance");
 	g_autofree char *prefix = header_value(head, "X-Chivegw-Prefix-Hash");
 	const char *name = strrchr(line[1], '/');
+	size_t body_len = strlen(body);
 	char text[32];
 
 	g_free(c->id);
@@ -512,6 +535,15 @@
 		write_response(c, 200, "-", "", crash_log->str);
 		return;
 	}
+	if (!strcmp(line[1], "/crash-on")) {
+		g_ptr_array_add(crash_requests, g_strdup(body));
+		write_response(c, 200, "-", "", "");
+		return;
+	}
+	if (!strcmp(line[1], "/crash")) {
+		schedule_crash(1);
+		return;
+	}
 	if (g_str_has_prefix(line[1], "/say/")) {
 		say(line[1] + strlen("/say/"));
 		write_response(c, 200, "-", "", "");
@@ -546,9 +578,12 @@
 	c->busy = true;
 	if (has_crash_part(prefix) && mode_runs_request(c->mode)) {
 		write_stream_head(c);
-		if (!uv_is_active((uv_handle_t *)&crash_timer))
-			uv_timer_start(&crash_timer, on_crash_timer,
-				       CRASH_DELAY_MS, 0);
+		schedule_crash(CRASH_DELAY_MS);
+		return;
+	}
+	if (is_crash_request(tenant, line[1], body) &&
+	    mode_runs_request(c->mode)) {
+		schedule_crash(CRASH_DELAY_MS);
 		return;
 	}
 	respond(c, last ? atoi(last) : 0);
@@ -561,6 +596,7 @@
 		const char *end = strstr(c->input->str, "\r\n\r\n");
 		g_autofree char *head = NULL;
 		g_autofree char *length = NULL;
+		g_autofree char *body = NULL;
 		size_t head_len, body_len;
 
 		if (!end)
@@ -571,8 +607,9 @@
 		body_len = length ? (size_t)atoi(length) : 0;
 		if (c->input->len < head_len + body_len)
 			return;
+		body = g_strndup(c->input->str + head_len, body_len);
 		g_string_erase(c->input, 0, (gssize)(head_len + body_len));
-		handle_request(c, head, body_len);
+		handle_request(c, head, body);
 	}
 }
 
@@ -639,6 +676,7 @@
 	crash_part = argv[3];
 	run_log = g_string_new(NULL);
 	arrival_log = g_string_new(NULL);
+	crash_requests = g_ptr_array_new();
 	crash_log = g_string_new(NULL);
 	conns = g_ptr_array_new();
 	extra_fields =
