crash: refuse requests that crash servers, whoever repeats them

Orders and reads that ran beside it failed.

Cause: crashes were related to parts of prompts only. A plain request has none, so nothing was kept of its crashes, and the client's repeats, which have ids of their own, began with all attempts of their route. The class: a failure is attributed to the component on which it shows, not to what all its occurrences have in common.

Ruled out: blocking by path and caller (10 of 269 stock reads of a sound 20 s share both), by id (each repeat has a new one), fewer attempts (slows it down only).

Change: the fingerprint of method, host, path, caller and body is one more key of the crashes, for requests of every kind. All requests that ran at three crashes unanswered are blocked at once; then one each 3 s gets a trial with a single attempt.

--- a/crash/crash-check-task.c
+++ b/crash/crash-check-task.c
@@ -136,7 +136,8 @@
 			.key = s->keys[i],
 			.server = s->server,
 			.request = s->request,
-			.depth = i,
+			.depth =
+				i + 1 < s->n_keys ? i : CRASH_KEY_REQUEST_DEPTH,
 			.at = now,
 		};
 
--- a/crash/crash-check-task.h
+++ b/crash/crash-check-task.h
@@ -14,7 +14,7 @@
 	const char *address; /* of the server, "ip:port" */
 	uint64_t server; /* hash of its id */
 	uint64_t request; /* hash of its id */
-	const uint64_t *keys; /* of the request, in order of their depth */
+	const uint64_t *keys; /* parts of the prompt, then the fingerprint */
 	uint32_t n_keys;
 };
 
--- a/daemon/gateway-metrics.c
+++ b/daemon/gateway-metrics.c
@@ -64,7 +64,10 @@
 		     in_flight);
 	append_gauge(out, "parts_blocked",
 		     "parts of prompts that crash servers",
-		     crash_keys_count_blocked(&g->crash_keys));
+		     crash_keys_count_blocked(&g->crash_keys, false));
+	append_gauge(out, "requests_blocked",
+		     "requests that crash servers, repeats counted as one",
+		     crash_keys_count_blocked(&g->crash_keys, true));
 }
 
 /*
--- a/daemon/gateway.c
+++ b/daemon/gateway.c
@@ -372,10 +372,17 @@
 	server_free_removed(&g->servers, now);
 }
 
-static void log_crashing_part(void *user, const struct crash_key *p,
-			      uint32_t crashes, uint32_t requests)
+static void log_crash_key(void *user, const struct crash_key *p,
+			  uint32_t crashes, uint32_t requests)
 {
 	(void)user;
+	if (crash_key_is_request(p)) {
+		log_event(LOG_EVENT_REQUEST_BLOCKED,
+			  "fingerprint=%016" G_GINT64_MODIFIER
+			  "x blocked=%d crashes=%u requests=%u",
+			  p->key, p->blocked, crashes, requests);
+		return;
+	}
 	log_event(LOG_EVENT_PART_BLOCKED,
 		  "part=%" G_GINT64_MODIFIER "x blocked=%d crashes=%u "
 		  "requests=%u",
@@ -390,7 +397,7 @@
 	tick_count++;
 	fleet_task_tick(g->fleet, now);
 	peer_state_tick(g->peer_state, now);
-	crash_keys_update(&g->crash_keys, now, log_crashing_part, NULL);
+	crash_keys_update(&g->crash_keys, now, log_crash_key, NULL);
 	exchange_check_overdue(g, now);
 	shift_task_tick(g->shifts, now);
 	peer_loads_apply(&g->peer_loads, now, &g->servers);
--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -343,28 +343,31 @@
 		.address = x->server->address,
 		.server = x->server->hash,
 		.request = XXH3_64bits(x->id, strlen(x->id)),
-		.keys = x->prompt.parts,
-		.n_keys = x->prompt.n_parts,
+		.keys = x->crash_keys,
+		.n_keys = x->n_crash_keys,
 	};
 
 	crash_checks_start(x->g->crash_checks, now, &s);
 }
 
-/* Relates the end of the attempt to the parts of the prompt. */
-static void record_prompt_outcome(struct exchange_request *x,
-				  enum http_client_outcome end)
+/* Relates the end of the attempt to crashes of its server. */
+static void record_crash_outcome(struct exchange_request *x,
+				 enum http_client_outcome end)
 {
 	uint64_t now = gateway_now(x->g);
 	bool ended_early = !x->attempt_events ||
 			   now - x->first_event_at < CRASH_AFTER_EVENT_MS;
 
 	/* An answer without a length may be incomplete. */
-	if (x->answer.result == RETRY_RESULT_COMPLETE && !x->unframed &&
-	    x->answer.status < 300)
-		crash_keys_on_answer(&x->g->crash_keys, now, x->prompt.parts,
-				     x->prompt.n_parts);
+	if (x->answer.result == RETRY_RESULT_COMPLETE && !x->unframed) {
+		bool answered_prompt = x->answer.status < 300;
+		uint32_t first = answered_prompt ? 0 : x->n_crash_keys - 1;
+
+		crash_keys_on_answer(&x->g->crash_keys, now,
+				     x->crash_keys + first,
+				     x->n_crash_keys - first);
+	}
 	if (x->answer.result == RETRY_RESULT_BROKEN && ended_early &&
-	    x->prompt.n_parts &&
 	    (end == HTTP_CLIENT_INTERRUPTED || x->unframed))
 		check_for_crash(x, now);
 }
@@ -388,7 +391,7 @@
 	enum server_outcome outcome = call_outcome(x, end);
 
 	report_to_rollout(x);
-	record_prompt_outcome(x, end);
+	record_crash_outcome(x, end);
 	if (x->answer.result == RETRY_RESULT_COMPLETE)
 		record_load_outcome(x);
 	if (x->answer.result == RETRY_RESULT_COMPLETE &&
@@ -437,8 +440,8 @@
 		  http_client_outcome_name(end), x->answer.status,
 		  gateway_now(x->g) - x->attempt_at, x->events.last_id,
 		  retry_step_name(step),
-		  server_load(x->server, gateway_now(x->g)), x->fingerprint,
-		  parts);
+		  server_load(x->server, gateway_now(x->g)),
+		  x->crash_keys[x->n_crash_keys - 1], parts);
 }
 
 /* Decides on the next step after an attempt and takes it. */
@@ -449,6 +452,11 @@
 	const struct retry_context s = retry_context_of(x);
 	enum retry_step step = retry_next_step(&x->retry, &x->answer, &s);
 
+	if (step == RETRY_STEP_RESEND &&
+	    x->answer.result == RETRY_RESULT_BROKEN &&
+	    crash_keys_on_trial(&g->crash_keys, s.now, x->crash_keys,
+				x->n_crash_keys))
+		step = retry_step_without_budget(&x->retry, &x->answer, &s);
 	if (step == RETRY_STEP_RESEND &&
 	    x->answer.result != RETRY_RESULT_UNSENT &&
 	    x->answer.result != RETRY_RESULT_WEAK &&
@@ -771,6 +779,16 @@
 	x->call = http_client_start(g->http, &req, &server_events, x);
 }
 
+/* Returns why a request is refused of which some crash key is blocked. */
+static const char *blocked_reason(const struct exchange_request *x,
+				  uint64_t now)
+{
+	return crash_keys_blocked_ms(&x->g->crash_keys, now,
+				     x->crash_keys + x->n_crash_keys - 1, 1)
+		       ? "crashing-request"
+		       : "crashing-part";
+}
+
 /* Starts an attempt, or ends the request if there is no server for it. */
 static void start_attempt(struct exchange_request *x)
 {
@@ -778,7 +796,7 @@
 	struct traffic_shift *shift;
 	const struct retry_context s = retry_context_of(x);
 	uint64_t blocked_ms = crash_keys_blocked_ms(
-		&x->g->crash_keys, now, x->prompt.parts, x->prompt.n_parts);
+		&x->g->crash_keys, now, x->crash_keys, x->n_crash_keys);
 
 	INVARIANT(retry_may_send(&x->retry),
 		  "exchange: a request that may have run is not sent again");
@@ -789,7 +807,7 @@
 		struct retry_refusal r = retry_make_refusal(&x->retry, &s);
 
 		if (blocked_ms) {
-			r.reason = "crashing-part";
+			r.reason = blocked_reason(x, now);
 			if (r.retry_after_ms)
 				r.retry_after_ms = (uint32_t)blocked_ms;
 		}
@@ -861,19 +879,19 @@
 	x->model = x->route->models[x->model_index];
 }
 
-/* The caller is the organisation, or none on a public route. */
-static uint64_t request_fingerprint(struct http_server_request *req,
-				    const char *caller)
+static void set_crash_keys(struct exchange_request *x)
 {
 	struct fingerprint_input in = {
-		.method = http_server_method(req),
-		.host = http_server_header(req, "host"),
-		.path = http_server_path(req),
-		.caller = caller,
+		.method = http_server_method(x->req),
+		.host = http_server_header(x->req, "host"),
+		.path = http_server_path(x->req),
+		.caller = x->org,
 	};
 
-	in.body = http_server_body(req, &in.body_len);
-	return fingerprint_of(&in);
+	in.body = http_server_body(x->req, &in.body_len);
+	x->n_crash_keys = x->prompt.n_parts;
+	memcpy(x->crash_keys, x->prompt.parts, sizeof(x->prompt.parts));
+	x->crash_keys[x->n_crash_keys++] = fingerprint_of(&in);
 }
 
 static struct exchange_request *new_request(struct gateway_state *g,
@@ -900,10 +918,10 @@
 			x->urgency = g->routes->orgs[org].priority;
 	}
 	x->urgency = MIN(x->urgency, MAX_URGENCY);
-	x->fingerprint = request_fingerprint(req, x->org);
 	prompt_parse(&x->prompt,
 		     http_server_header(req, g->header_names->prefix),
 		     http_server_header(req, g->header_names->tokens));
+	set_crash_keys(x);
 	x->session = session ? XXH3_64bits(session, strlen(session))
 			     : x->prompt.session;
 	retry_init(&x->retry, route);
--- a/exchange/exchange.h
+++ b/exchange/exchange.h
@@ -16,12 +16,17 @@
 	const struct route_entry *route;
 	const char *service; /* owned by `routes` */
 	char *id; /* the client's request id */
-	uint64_t fingerprint; /* the same for all repeats by the client */
 	const char *org; /* name, owned by `routes`; NULL: none */
 	uint32_t urgency; /* 0 is the most urgent */
 	uint64_t started_at; /* ms of the node's clock, as all times here */
 	uint64_t deadline; /* the earlier of the client's and the route's */
 	struct prompt_info prompt;
+	/*
+	 * By which crashes are related to it: the parts of the prompt, then the
+	 * fingerprint, which is the same for all repeats by the client.
+	 */
+	uint64_t crash_keys[PROMPT_MAX_PARTS + 1];
+	uint32_t n_crash_keys;
 	uint64_t session; /* hash; 0: none */
 	const char *model; /* chosen by the gateway; NULL: by the client */
 	size_t model_index; /* of `model`, among those of the route */
--- a/fleet/findings-task.c
+++ b/fleet/findings-task.c
@@ -31,6 +31,12 @@
 					 PEER_WIRE_MAX_BYTES);
 }
 
+static bool has_blocked(const struct crash_keys *c)
+{
+	return crash_keys_count_blocked(c, false) ||
+	       crash_keys_count_blocked(c, true);
+}
+
 /*
  * Sends what this node has seen running at servers that crashed to all, and now
  * and then what is known of blocked parts of prompts to some. After its start a
@@ -47,7 +53,7 @@
 		fleet_task_send_to_all(t->fleet, bytes,
 				       encode_crashes(t, now, &m, bytes));
 	m.n = 0;
-	if (now - t->g->started_at < ASK_MS && !crash_keys_count_blocked(c))
+	if (now - t->g->started_at < ASK_MS && !has_blocked(c))
 		fleet_task_send_to_some(t->fleet, ASK_FANOUT, bytes,
 					encode_crashes(t, now, &m, bytes));
 	if (now < t->next_summary_at)
--- a/log-event.h
+++ b/log-event.h
@@ -55,6 +55,7 @@
 	X(SERVER_CHANGED, 710, MESSAGE, "server changed state")                \
 	X(SERVER_PAUSE, 713, MESSAGE, "server asked for a pause")              \
 	X(PART_BLOCKED, 714, WARNING, "part of prompts crashes servers")       \
+	X(REQUEST_BLOCKED, 716, WARNING, "request crashes servers")            \
 	X(LOAD_LIMIT, 715, WARNING, "servers fail beyond a load")              \
 	X(SERVER_LIMIT, 712, MESSAGE, "server named a limit")                  \
 	X(SERVERS_LISTED, 711, MESSAGE, "servers listed")
--- a/t/t0026-crashing-request.sh
+++ b/t/t0026-crashing-request.sh
@@ -10,7 +10,7 @@
 . t/lib-routes.sh
 
 NODES=$(seq "${FLEET_SIZE:-5}")
-BACKENDS=$(seq 8)
+BACKENDS=$(seq "${SERVERS:-8}")
 # The rules allow three crashes, then three seconds and three requests.
 CRASHES=3
 STABLE_MS=3000
@@ -125,9 +125,9 @@
 say "servers that crash by themselves, while the sound requests run there"
 pkill_bad() { for name in read order; do crash "bad-$name"; done; }
 pkill_bad
-for round in 1 2 3 4; do
-	for n in $(seq $((2 * round - 1)) $((2 * round))); do curl -s -m 1 "http://$(backend_address "$n")/crash" >/dev/null; done
-	sleep 0.7
+for n in $BACKENDS; do
+	curl -s -m 1 "http://$(backend_address "$n")/crash" >/dev/null
+	sleep 0.35
 done
 from_at=$(($(now_ms) + 2000))
 sleep 6
--- a/t/unit/crash_keys_test.cc
+++ b/t/unit/crash_keys_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
+#include <map>
 #include <vector>
 
 extern "C" {
@@ -194,4 +196,231 @@
 	EXPECT_GT(p.blocked_ms(5000, kBad), 0u);
 }
 
+// Whole requests, which clients repeat.
+constexpr uint32_t kRequest = CRASH_KEY_REQUEST_DEPTH;
+constexpr uint64_t kRead = 50, kOrder = 51, kSound = 52;
+
+TEST(CrashingRequest, IsBlockedAfterThreeCrashesThoughItIsNeverSentAgain)
+{
+	Parts p;
+
+	for (uint64_t i = 0; i < 2; i++)
+		p.add(kOrder, i, 100 + i, 1000 + 500 * i, kRequest);
+	p.update(2000);
+	EXPECT_EQ(p.blocked_ms(2000, kOrder), 0u);
+	p.add(kOrder, 2, 102, 2100, kRequest);
+	p.update(2200);
+	EXPECT_GT(p.blocked_ms(2200, kOrder), 60000u);
+	EXPECT_EQ(crash_keys_count_blocked(&p.c, true), 1u);
+	EXPECT_EQ(crash_keys_count_blocked(&p.c, false), 0u);
+}
+
+TEST(CrashingRequest, ServersThatFailAtOnceAreNoReason)
+{
+	Parts p;
+
+	for (uint64_t i = 0; i < 8; i++)
+		p.add(kSound, i, 100 + i, 1000 + 10 * i, kRequest);
+	p.update(1200);
+	EXPECT_EQ(p.blocked_ms(1200, kSound), 0u);
+}
+
+TEST(CrashingRequest, OneThatIsAnsweredElsewhereIsNotBlocked)
+{
+	Parts p;
+
+	for (uint64_t i = 0; i < 5; i++)
+		p.add(kSound, i, 100 + i, 1000 + 500 * i, kRequest);
+	crash_keys_on_peer_answer(&p.c, 3100, kSound);
+	p.update(3200);
+	EXPECT_EQ(p.blocked_ms(3200, kSound), 0u);
+}
+
+// Two requests that run at the same three crashes; returns the time after them.
+uint64_t crash_together(Parts &p, uint64_t a, uint64_t b)
+{
+	uint64_t at = 1000;
+
+	for (uint64_t i = 0; i < 3; i++, at += 500)
+		for (uint64_t key : {a, b})
+			p.add(key, i, key * 10 + i, at, kRequest);
+	p.update(at);
+	return at;
+}
+
+TEST(CrashingRequest, BothOfTwoThatAlwaysRunTogetherAreBlocked)
+{
+	Parts p;
+	uint64_t at = crash_together(p, kRead, kOrder);
+
+	EXPECT_GT(p.blocked_ms(at, kRead), 0u);
+	EXPECT_GT(p.blocked_ms(at, kOrder), 0u);
+	// What others explain gets another chance, and only one crash more.
+	at += 11000;
+	p.update(at);
+	p.add(kRead, 10, 301, at, kRequest);
+	p.update(at);
+	p.update(at + 11000);
+	EXPECT_GT(p.blocked_ms(at + 11000, kRead), 0u);
+	p.add(kOrder, 11, 302, at + 11500, kRequest);
+	p.update(at + 11500);
+	EXPECT_GT(p.blocked_ms(at + 11500, kRead), 0u);
+	EXPECT_GT(p.blocked_ms(at + 11500, kOrder), 0u);
+}
+
+TEST(CrashingRequest, ASoundOneThatRanBesideItIsReleased)
+{
+	Parts p;
+	uint64_t at = crash_together(p, kRead, kSound);
+
+	p.add(kRead, 9, 300, at, kRequest);
+	p.update(at);
+	p.update(at + 11000);
+	EXPECT_EQ(p.blocked_ms(at + 11000, kSound), 0u);
+	EXPECT_GT(p.blocked_ms(at + 11000, kRead), 0u);
+}
+
+TEST(CrashingRequest, DoesNotHideTheCrashingPartOfSeveral)
+{
+	Parts p;
+	uint64_t at = 1000;
+
+	for (uint64_t i = 0; i < 3; i++)
+		for (uint64_t attempt = 0; attempt < 3; attempt++, at += 200) {
+			const uint64_t server = 3 * i + attempt;
+
+			p.add(kBad, server, 100 + i, at, 1);
+			p.add(1000 + i, server, 100 + i, at, kRequest);
+		}
+	p.update(at);
+	EXPECT_GT(p.blocked_ms(at, kBad), 0u);
+	EXPECT_EQ(crash_keys_count_blocked(&p.c, true), 0u);
+}
+
+/*
+ * A fleet that shares all observations, in steps of 100 ms: servers run requests
+ * for some steps; one that crashes them does so after its first step there.
+ */
+struct Fleet {
+	static constexpr int kStepMs = 100, kDownSteps = 20, kSteps = 600;
+	static constexpr uint64_t kStableMs = 3000;
+	struct Run {
+		uint64_t key, request;
+		int end;
+		bool crashes;
+		int attempts_left;
+	};
+	struct Server {
+		int up_at = 0;
+		std::vector<Run> runs;
+	};
+	Parts p;
+	std::vector<Server> servers;
+	std::map<uint64_t, std::vector<uint64_t>> crashes, sends;
+	int sound = 0, served = 0;
+	uint64_t next_request = 1;
+
+	uint64_t ms(int step) const { return 1000 + (uint64_t)step * kStepMs; }
+
+	void send(int step, Run r, uint32_t draw)
+	{
+		if (p.blocked_ms(ms(step), r.key))
+			return;
+		for (size_t i = 0; i < servers.size(); i++) {
+			Server &s = servers[(draw + i) % servers.size()];
+
+			if (s.up_at > step)
+				continue;
+			sends[r.key].push_back(ms(step));
+			r.end = step + (r.crashes ? 1 : 1 + draw % 4);
+			s.runs.push_back(r);
+			return;
+		}
+	}
+
+	void crash(int step, size_t server, uint32_t draw)
+	{
+		std::vector<Run> lost;
+
+		lost.swap(servers[server].runs);
+		servers[server].up_at = step + kDownSteps;
+		for (Run &r : lost) {
+			p.add(r.key, server, r.request, ms(step), kRequest);
+			if (r.crashes && r.end <= step)
+				crashes[r.key].push_back(ms(step));
+			if (r.attempts_left-- > 0 &&
+			    !crash_keys_on_trial(&p.c, ms(step), &r.key, 1))
+				send(step, r, draw++);
+		}
+	}
+
+	void run(int step, size_t server, uint32_t draw)
+	{
+		Server &s = servers[server];
+		std::vector<Run> left;
+
+		for (const Run &r : s.runs)
+			if (r.crashes && r.end <= step) {
+				crash(step, server, draw);
+				return;
+			}
+		for (const Run &r : s.runs) {
+			if (r.end > step) {
+				left.push_back(r);
+				continue;
+			}
+			served++;
+			crash_keys_on_answer(&p.c, ms(step), &r.key, 1);
+		}
+		s.runs = left;
+	}
+
+	uint32_t late(uint64_t key)
+	{
+		uint32_t n = 0;
+
+		if (crashes[key].size() < 3)
+			return 0;
+		for (uint64_t at : sends[key])
+			n += at > crashes[key][2] + kStableMs;
+		return n;
+	}
+};
+
+RC_GTEST_PROP(CrashingRequest, SeveralAtOnceCrashFewServersAndSoundOnesAreServed,
+	      ())
+{
+	Fleet f;
+	const int n_servers = *rc::gen::inRange(3, 10);
+	const int n_bad = *rc::gen::inRange(1, 5);
+	const int period = *rc::gen::inRange(4, 25);
+	const int attempts = *rc::gen::inRange(0, 3);
+	uint32_t draw = *rc::gen::arbitrary<uint32_t>();
+
+	f.servers.resize(n_servers);
+	for (int step = 0; step < Fleet::kSteps; step++) {
+		draw = draw * 1664525 + 1013904223;
+		for (int k = 0; k < n_bad; k++)
+			if (step % period == (k * 3) % period)
+				f.send(step,
+				       {(uint64_t)(1 + k), f.next_request++, 0,
+					true, attempts},
+				       draw >> (8 + k));
+		for (uint64_t k = 0; k < 6; k++)
+			if ((step + k) % 5 == 0) {
+				f.sound++;
+				f.send(step,
+				       {100 + k, f.next_request++, 0, false,
+					attempts},
+				       draw >> (12 + k));
+			}
+		for (size_t i = 0; i < f.servers.size(); i++)
+			f.run(step, i, draw >> (4 + i));
+		f.p.update(f.ms(step));
+	}
+	for (int k = 0; k < n_bad; k++)
+		RC_ASSERT(f.late(1 + k) <= 3u);
+	RC_ASSERT(2 * f.served >= f.sound);
+}
+
 } // namespace
