t: show that nodes that are cut off from all servers serve nobody

The stand-in of a server listens on an address for each node, and cuts nodes off there: connections reset and refused, open ones live on while new ones are refused, or all hang.

--- a/crash/crash-keys.c
+++ b/crash/crash-keys.c
@@ -450,7 +450,7 @@
 void crash_keys_update(struct crash_keys *c, uint64_t now, crash_keys_log log,
 		       void *user)
 {
-	bool was_blocked[CRASH_KEYS_MAX];
+	bool was_blocked[CRASH_KEYS_MAX] = {false};
 	struct crash_key *p;
 
 	forget_old(c, now, log, user);
--- a/t/helper/backend.c
+++ b/t/helper/backend.c
@@ -41,18 +41,29 @@
  * it has begun to answer a request with that part in its prompt: it resets all
  * connections and accepts none for CRASH_DOWN_MS. POST /crash-on with "TENANT PATH
  * BODY" makes it do so CRASH_DELAY_MS after it has begun to run such a request,
- * GET /crash at once. GET /crashes lists when it crashed, as GET /arrived. GET
+ * GET /crash at once. With the argument VIEWS it also listens on the addresses
+ * 127.0.0.2 to 127.0.0.VIEWS, one for each node. GET /cut/N/MODE cuts off those
+ * that use 127.0.0.N:
+ *   refuse      resets their connections and refuses new ones
+ *   refuse-new  refuses new connections; open ones live on
+ *   hang        falls silent: open connections, and new ones are not accepted
+ *   heal        accepts new connections again
+ * GET /crashes lists when it crashed, as GET /arrived. GET
  * /arrived lists when requests arrived, refused ones too, one a line: ms of the
  * machine's steady clock, id.
  * GET /ran lists the requests that ran, one a line: id, method, path, tenant,
  * deadline, model, last event id, body length, key, instance. GET /gone returns
  * the number of clients that disconnected while their request ran.
  */
+#include <arpa/inet.h>
+#include <fcntl.h>
 #include <glib.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <uv.h>
 
 #include "http/address.h"
@@ -65,6 +76,8 @@
 #define CRASH_DELAY_MS 60
 #define CRASH_DOWN_MS 1500
 #define LISTEN_BACKLOG 64
+#define MAX_VIEWS 250
+#define MAX_FILLERS 4 /* connections that fill the queue of a view that hangs */
 #define READ_BUFFER_BYTES 65536
 
 struct conn {
@@ -77,6 +90,7 @@
 	int next_event; /* id of the next stream event */
 	char *flood; /* what the endless modes repeat */
 	bool busy; /* a request runs; later ones wait in input */
+	unsigned int view; /* 127.0.0.view is the local address */
 	bool closed;
 };
 
@@ -91,7 +105,12 @@
 static GString *crash_log; /* what GET /crashes returns */
 static GPtrArray *conns; /* open ones */
 static struct sockaddr_in listen_address;
-static uv_tcp_t listener;
+static unsigned int view_count = 1;
+static struct view {
+	uv_tcp_t *listener; /* NULL: closed */
+	int silent_socket; /* listens and never accepts; -1: none */
+	int fillers[MAX_FILLERS];
+} views[MAX_VIEWS + 1]; /* by the last byte of their address, from 1 */
 static uv_timer_t crash_timer; /* until the crash, then until it is over */
 static bool down; /* crashed and not back */
 static unsigned int disconnect_count;
@@ -301,6 +320,81 @@
 
 static bool start_listening(void);
 
+static void on_listener_closed(uv_handle_t *h)
+{
+	g_free(h);
+}
+
+static void close_view(unsigned int n)
+{
+	struct view *v = &views[n];
+
+	if (v->listener)
+		uv_close((uv_handle_t *)v->listener, on_listener_closed);
+	v->listener = NULL;
+	if (v->silent_socket < 0)
+		return;
+	for (int i = 0; i < MAX_FILLERS; i++)
+		close(v->fillers[i]);
+	close(v->silent_socket);
+	v->silent_socket = -1;
+}
+
+static struct sockaddr_in view_address(unsigned int n)
+{
+	struct sockaddr_in sa = listen_address;
+
+	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK - 1 + n);
+	return sa;
+}
+
+/* Listens without ever accepting; the queue is filled, so connecting hangs. */
+static void hang_view(unsigned int n)
+{
+	struct view *v = &views[n];
+	struct sockaddr_in sa = view_address(n);
+	const int on = 1;
+
+	v->silent_socket = socket(AF_INET, SOCK_STREAM, 0);
+	setsockopt(v->silent_socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(v->silent_socket, (struct sockaddr *)&sa, sizeof(sa)) ||
+	    listen(v->silent_socket, 0))
+		fprintf(stderr, "backend: cannot hang view %u\n", n);
+	for (int i = 0; i < MAX_FILLERS; i++) {
+		v->fillers[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		if (connect(v->fillers[i], (struct sockaddr *)&sa, sizeof(sa)))
+			continue; /* in progress, or the queue is full */
+	}
+}
+
+static bool open_view(unsigned int n);
+
+/* Applies GET /cut/N/MODE. */
+static void cut(unsigned int n, const char *mode)
+{
+	if (n < 1 || n > view_count)
+		return;
+	close_view(n);
+	if (!strcmp(mode, "heal")) {
+		open_view(n);
+		return;
+	}
+	for (guint i = conns->len; i-- > 0;) {
+		struct conn *c = conns->pdata[i];
+
+		if (c->view != n)
+			continue;
+		if (!strcmp(mode, "refuse"))
+			reset_conn(c);
+		if (strcmp(mode, "hang") != 0)
+			continue;
+		uv_read_stop((uv_stream_t *)&c->tcp);
+		uv_timer_stop(&c->timer);
+	}
+	if (!strcmp(mode, "hang"))
+		hang_view(n);
+}
+
 static void on_crash_timer(uv_timer_t *timer)
 {
 	if (down) {
@@ -310,7 +404,8 @@
 	down = true;
 	g_string_append_printf(crash_log, "%" G_GUINT64_FORMAT " %s\n",
 			       (guint64)(uv_hrtime() / 1000000), instance);
-	uv_close((uv_handle_t *)&listener, NULL);
+	for (unsigned int i = 1; i <= view_count; i++)
+		close_view(i);
 	while (conns->len)
 		reset_conn(conns->pdata[0]);
 	uv_timer_start(timer, on_crash_timer, CRASH_DOWN_MS, CRASH_DOWN_MS);
@@ -535,6 +630,11 @@
 		write_response(c, 200, "-", "", crash_log->str);
 		return;
 	}
+	if (g_str_has_prefix(line[1], "/cut/")) {
+		cut((unsigned int)atoi(line[1] + strlen("/cut/")), name + 1);
+		write_response(c, 200, "-", "", "");
+		return;
+	}
 	if (!strcmp(line[1], "/crash-on")) {
 		g_ptr_array_add(crash_requests, g_strdup(body));
 		write_response(c, 200, "-", "", "");
@@ -650,30 +750,47 @@
 	c->tcp.data = c;
 	c->timer.data = c;
 	uv_accept(from, (uv_stream_t *)&c->tcp);
+	c->view = (unsigned int)(uintptr_t)from->data;
 	uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
 }
 
+static bool open_view(unsigned int n)
+{
+	struct sockaddr_in sa = view_address(n);
+	uv_tcp_t *l = g_new0(uv_tcp_t, 1);
+
+	views[n].listener = l;
+	l->data = (void *)(uintptr_t)n;
+	uv_tcp_init(loop, l);
+	return uv_tcp_bind(l, (struct sockaddr *)&sa, 0) == 0 &&
+	       uv_listen((uv_stream_t *)l, LISTEN_BACKLOG, on_accept) == 0;
+}
+
 static bool start_listening(void)
 {
-	uv_tcp_init(loop, &listener);
+	bool ok = true;
+
 	uv_timer_stop(&crash_timer);
-	return uv_tcp_bind(&listener, (struct sockaddr *)&listen_address, 0) ==
-		       0 &&
-	       uv_listen((uv_stream_t *)&listener, LISTEN_BACKLOG, on_accept) ==
-		       0;
+	for (unsigned int i = 1; i <= view_count; i++)
+		ok &= open_view(i);
+	return ok;
 }
 
 int main(int argc, char **argv)
 {
-	if (argc < 3 || argc > 4 ||
+	if (argc < 3 || argc > 5 ||
 	    !address_parse(argv[1], &listen_address, NULL)) {
-		fprintf(stderr,
-			"usage: backend ADDRESS INSTANCE [CRASH_PART]\n");
+		fprintf(stderr, "usage: backend ADDRESS INSTANCE [CRASH_PART "
+				"[VIEWS]]\n");
 		return 2;
 	}
 	signal(SIGPIPE, SIG_IGN);
 	instance = argv[2];
-	crash_part = argv[3];
+	crash_part = argc > 3 && strcmp(argv[3], "-") ? argv[3] : NULL;
+	if (argc > 4)
+		view_count = MIN((unsigned int)atoi(argv[4]), MAX_VIEWS);
+	for (unsigned int i = 0; i <= MAX_VIEWS; i++)
+		views[i].silent_socket = -1;
 	run_log = g_string_new(NULL);
 	arrival_log = g_string_new(NULL);
 	crash_requests = g_ptr_array_new();
--- a/t/helper/objects.c
+++ b/t/helper/objects.c
@@ -14,6 +14,8 @@
  *   {"restore": true} goes back to the copy: later writes are lost, their
  *                     revisions are given out again, watches from a revision
  *                     above the copy's get 410, and Store-Era rises by one
+ * To a client that uses the host 127.0.0.N, all addresses "127.0.0.1:PORT" read
+ * "127.0.0.N:PORT", so that servers can tell nodes apart.
  * GET /calls returns the number of calls without x-operator.
  */
 #include <json-c/json.h>
@@ -71,9 +73,15 @@
 static void reply(struct http_server_request *req, int status, const char *json)
 {
 	g_autofree char *value = g_strdup_printf("%" G_GUINT64_FORMAT, era);
+	const char *host = http_server_header(req, "host");
+	g_autofree char *view =
+		g_strndup(host ? host : "", strcspn(host ? host : "", ":"));
+	g_auto(GStrv) pieces = g_strsplit(json, "127.0.0.1:", -1);
+	g_autofree char *separator = g_strdup_printf("%s:", view);
+	g_autofree char *viewed = g_strjoinv(separator, pieces);
 
 	http_server_add_header(req, "Store-Era", value);
-	http_server_reply_json(req, status, json);
+	http_server_reply_json(req, status, *view ? viewed : json);
 }
 
 /* Responds with the changes since the watch's revision, or with 503. */
--- a/t/lib-routes.sh
+++ b/t/lib-routes.sh
@@ -19,7 +19,7 @@
 }
 
 start_objects() {
-	run objects "$BUILD/t/objects" "$STORE"
+	run objects "$BUILD/t/objects" "${STORE_LISTEN:-$STORE}"
 	until_true 10 is_up "$STORE" calls || fail "the object API did not start"
 }
 
@@ -27,9 +27,10 @@
 backend_address() { address_at $((800 + $1)); }
 
 # start_backend N SERVICE [VERSION]: starts a backend server and registers it as
-# ready. CRASH_PART, if set, is a part of prompts at which it crashes.
+# ready. CRASH_PART, if set, is a part of prompts at which it crashes; VIEWS, how
+# many addresses it listens on.
 start_backend() {
-	run "backend$1" "$BUILD/t/backend" "$(backend_address "$1")" "i-$1" ${CRASH_PART:-}
+	run "backend$1" "$BUILD/t/backend" "$(backend_address "$1")" "i-$1" "${CRASH_PART:--}" ${VIEWS:-}
 	until_true 10 is_up "$(backend_address "$1")" gone || fail "backend$1 did not start"
 	put_server "$1" "$2" "${3:-v1}" ready
 }
