t: show that brittle servers crash under bursts

A first form of the test used reads too, whose attempts time out after the 300 ms that the stand-in takes; it is left out.

--- a/t/helper/backend.c
+++ b/t/helper/backend.c
@@ -36,6 +36,9 @@
  *   stream-slow   EVENT_INTERVAL_MS between events
  * GET /fail-above/N makes it answer 500 to requests while more than N run, and
  * GET /failed returns how often it did.
+ * GET /brittle/ROOM/REFUSALS makes it refuse requests while ROOM run, and crash when
+ * it has refused more than REFUSALS in a second, as it says in all its answers;
+ * ROOM 0 ends that.
  * GET /say/FIELD/VALUE adds a header field to all responses, GET /say/FIELD
  * drops it. With the argument CRASH_PART, the server crashes CRASH_DELAY_MS after
  * it has begun to answer a request with that part in its prompt: it resets all
@@ -76,6 +79,7 @@
 #define CRASH_DELAY_MS 60
 #define CRASH_DOWN_MS 1500
 #define LISTEN_BACKLOG 64
+#define REFUSAL_WINDOW_MS 1000
 #define MAX_VIEWS 250
 #define MAX_FILLERS 4 /* connections that fill the queue of a view that hangs */
 #define READ_BUFFER_BYTES 65536
@@ -116,6 +120,10 @@
 static unsigned int disconnect_count;
 static unsigned int fail_above; /* running requests; 0: no limit */
 static unsigned int overload_count;
+static unsigned int room; /* for running requests while brittle; 0: no limit */
+static unsigned int max_refusals; /* in REFUSAL_WINDOW_MS, while brittle */
+static unsigned int refusals; /* since refusals_since */
+static uint64_t refusals_since; /* ms */
 
 static void on_closed(uv_handle_t *h)
 {
@@ -578,6 +586,31 @@
 	return n;
 }
 
+/* Counts a refusal for want of room; too many make a brittle server crash. */
+static void count_refusal(void)
+{
+	uint64_t now = uv_now(loop);
+
+	if (now - refusals_since >= REFUSAL_WINDOW_MS) {
+		refusals_since = now;
+		refusals = 0;
+	}
+	if (++refusals > max_refusals)
+		schedule_crash(1);
+}
+
+static void set_brittle(const char *text)
+{
+	g_auto(GStrv) numbers = g_strsplit(text, "/", 2);
+	g_autofree char *field = NULL;
+
+	room = (unsigned int)atoi(numbers[0]);
+	max_refusals = numbers[1] ? (unsigned int)atoi(numbers[1]) : 0;
+	field = room ? g_strdup_printf("Server-Brittle/%u", max_refusals)
+		     : g_strdup("Server-Brittle");
+	say(field);
+}
+
 static bool mode_runs_request(const char *mode)
 {
 	return strcmp(mode, "refuse") != 0 && strcmp(mode, "other") != 0;
@@ -630,6 +663,11 @@
 		write_response(c, 200, "-", "", crash_log->str);
 		return;
 	}
+	if (g_str_has_prefix(line[1], "/brittle/")) {
+		set_brittle(line[1] + strlen("/brittle/"));
+		write_response(c, 200, "-", "", "");
+		return;
+	}
 	if (g_str_has_prefix(line[1], "/cut/")) {
 		cut((unsigned int)atoi(line[1] + strlen("/cut/")), name + 1);
 		write_response(c, 200, "-", "", "");
@@ -661,6 +699,12 @@
 			       c->id ? c->id : "-");
 	if (g_strcmp0(expect, instance) != 0)
 		c->mode = g_strdup("other");
+	if (room && running_requests() >= room) {
+		count_refusal();
+		write_response(c, 503, c->id, "X-Chivegw-Not-Run: 1\r\n",
+			       "full");
+		return;
+	}
 	if (mode_runs_request(c->mode))
 		g_string_append_printf(
 			run_log,
