exchange: divide the slots of brittle servers between the nodes

The nodes ignored it: each sent by loads that are up to 100 ms old, and in a burst all found room at once.

Change: while a service's servers are brittle, their slots are divided between the live nodes by rank, so that they never have to refuse; a node that is refused all the same leaves the server alone for nodes / N seconds. A node that no server has room for asks another one. Weighed and left: reacting to refusals only, as a burst is over before the first.

--- /dev/null
+++ b/exchange/brittle.h
@@ -0,0 +1,31 @@
+#ifndef EXCHANGE_BRITTLE_H
+#define EXCHANGE_BRITTLE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * What a brittle server bears: it crashes if it has to refuse more than a few
+ * requests a second for want of room. Its slots are divided between as many nodes,
+ * chosen by rank, so that it never has to; a node that is refused all the same
+ * leaves it alone until all nodes together cannot exceed the number. Times are
+ * milliseconds of the node's own clock.
+ */
+struct brittle {
+	double refusals_per_s; /* that the server bears; 0: not brittle */
+	uint64_t heard_at; /* of the latest answer that said so */
+	bool ranked; /* the next two are set */
+	uint32_t max_in_flight; /* of this node; 0: it must not send */
+	uint32_t nodes; /* alive */
+	uint64_t wait_until; /* after a refusal */
+};
+
+double brittle_parse(const char *text);
+bool brittle_hear(struct brittle *b, uint64_t now, double refusals_per_s);
+void brittle_set_rank(struct brittle *b, uint32_t rank, uint32_t nodes,
+		      uint32_t slots);
+void brittle_on_refusal(struct brittle *b, uint64_t now);
+bool brittle_is_in_force(const struct brittle *b, uint64_t now);
+bool brittle_allows(const struct brittle *b, uint64_t now, uint32_t in_flight);
+
+#endif
--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -579,6 +579,18 @@
 			  per_s, x->id);
 }
 
+/* Takes up how many refusals a second a server says that it bears. */
+static void read_brittle(struct exchange_request *x, const char *value)
+{
+	double n = brittle_parse(value);
+
+	if (server_hear_brittle(&x->g->servers, x->server, gateway_now(x->g),
+				n))
+		log_event(LOG_EVENT_SERVER_BRITTLE,
+			  "server=%s refusals_per_s=%.1f request=%s",
+			  x->server->id, n, x->id);
+}
+
 /* Takes up a time, in seconds, for which a refusing server wants no request. */
 static void read_pause(struct exchange_request *x, const char *value)
 {
@@ -605,6 +617,7 @@
 	const char *leaving = http_message_find(fields, names->leaving);
 
 	read_rate_limit(x, http_message_find(fields, names->rate_limit));
+	read_brittle(x, http_message_find(fields, names->brittle));
 	if (status == 503)
 		read_pause(x, http_message_find(fields, "retry-after"));
 	if (leaving && !strcmp(leaving, "1") &&
@@ -863,6 +876,22 @@
 		       : "crashing-part";
 }
 
+/* Returns whether the service's servers are brittle, so that few nodes send. */
+static bool is_brittle(const struct exchange_request *x, uint64_t now)
+{
+	const GPtrArray *all = x->g->servers.all;
+
+	for (guint i = 0; i < all->len; i++) {
+		const struct server_record *s = all->pdata[i];
+
+		if (s->state == SERVER_READY &&
+		    !strcmp(s->service, x->service) &&
+		    brittle_is_in_force(&s->brittle, now))
+			return true;
+	}
+	return false;
+}
+
 /*
  * Sets the attempt's server, or the helper in its place: while half of the
  * service's servers or more are out of reach here, other nodes get the share of
@@ -886,7 +915,9 @@
 	    exchange_choose_helper(x, now))
 		return true;
 	x->server = exchange_pick_server(x, now);
-	return x->server || (impaired && exchange_choose_helper(x, now));
+	return x->server ||
+	       ((impaired || (!x->relayed && is_brittle(x, now))) &&
+		exchange_choose_helper(x, now));
 }
 
 /* Starts an attempt, or ends the request if there is no server for it. */
--- a/exchange/header-names.c
+++ b/exchange/header-names.c
@@ -14,6 +14,7 @@
 	.load = "X-Chivegw-Load",
 	.leaving = "X-Chivegw-Leaving",
 	.rate_limit = "X-Chivegw-Rate-Limit",
+	.brittle = "X-Chivegw-Brittle",
 	.not_run = "X-Chivegw-Not-Run",
 	.model = "X-Chivegw-Model",
 	.tokens = "X-Chivegw-Tokens",
--- a/exchange/servers.c
+++ b/exchange/servers.c
@@ -143,6 +143,7 @@
 	s->said_leaving = false;
 	s->paused_until = 0;
 	memset(&s->limit, 0, sizeof(s->limit));
+	memset(&s->brittle, 0, sizeof(s->brittle));
 }
 
 /*
@@ -322,7 +323,8 @@
 /* Returns whether a ready server wants requests of this node now. */
 bool server_may_get_request(const struct server_record *s, uint64_t now)
 {
-	return s->paused_until <= now && rate_limit_allows(&s->limit, now);
+	return s->paused_until <= now && rate_limit_allows(&s->limit, now) &&
+	       brittle_allows(&s->brittle, now, s->in_flight);
 }
 
 /*
@@ -388,6 +390,24 @@
 	return any_lost;
 }
 
+/*
+ * Takes up how many refusals a second an answer says that the server bears, 0 if
+ * nothing. All servers of a service are brittle at the same time, so it holds for
+ * those that have not answered yet. Returns true if it has changed.
+ */
+bool server_hear_brittle(struct server_table *t, struct server_record *s,
+			 uint64_t now, double refusals_per_s)
+{
+	for (guint i = 0; refusals_per_s && i < t->all->len; i++) {
+		struct server_record *other = t->all->pdata[i];
+
+		if (!brittle_is_in_force(&other->brittle, now) && other != s &&
+		    !strcmp(other->service, s->service))
+			brittle_hear(&other->brittle, now, refusals_per_s);
+	}
+	return brittle_hear(&s->brittle, now, refusals_per_s);
+}
+
 /*
  * Handles an answer in which the server says that it leaves. Returns true if
  * the server was ready until now.
@@ -609,6 +629,8 @@
 		s->misdirected = true;
 		break;
 	case SERVER_CALL_REFUSED:
+		brittle_on_refusal(&s->brittle, now);
+		break;
 	case SERVER_CALL_IGNORED:
 		break;
 	}
--- a/exchange/servers.h
+++ b/exchange/servers.h
@@ -5,6 +5,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "exchange/brittle.h"
 #include "exchange/rate-limit.h"
 #include "exchange/removals.h"
 #include "relay/reach.h"
@@ -46,6 +47,7 @@
 	char *address;
 	char *zone;
 	char *version;
+	struct brittle brittle;
 	struct reach reach; /* of the server from this node */
 	struct load_limit *load_limit; /* of the version; owned by the table */
 	uint64_t hash; /* of id */
@@ -137,6 +139,8 @@
 struct server_reach server_service_reach(const struct server_table *t,
 					 const char *service);
 bool server_reach_is_impaired(const struct server_reach *r);
+bool server_hear_brittle(struct server_table *t, struct server_record *s,
+			 uint64_t now, double refusals_per_s);
 bool server_on_said_leaving(struct server_record *s);
 void server_free_removed(struct server_table *t, uint64_t now);
 uint64_t server_table_digest(const struct server_table *t);
--- a/fleet/fleet-task.c
+++ b/fleet/fleet-task.c
@@ -27,6 +27,7 @@
 #define SOURCE_WATCHERS 4 /* nodes that watch it in a larger fleet */
 #define SOURCE_STATUS_INTERVAL_MS 200
 #define LOAD_FANOUT 16 /* nodes that a load message is sent to */
+#define BRITTLE_RANK_INTERVAL_MS 1000
 #define EVALUATORS 2 /* nodes that get a roll-out's reports, by rank */
 
 struct fleet_task {
@@ -40,6 +41,7 @@
 	bool sent_load; /* the last load message held at least one */
 	uint64_t sent_changed[FEED_TOPIC_COUNT]; /* in that message */
 	uint32_t idle_ticks; /* since that message */
+	uint64_t next_brittle_at; /* ranks for brittle servers are set anew */
 	bool following; /* leaves watching the source to other nodes */
 	uint64_t next_source_status_at;
 	struct source_follow follow;
@@ -417,8 +419,11 @@
 					 sizeof(bytes)));
 }
 
-/* Divides the limit of each server that names one between a few live nodes. */
-static void divide_limits(struct fleet_task *t)
+/*
+ * Divides the limit of each server that names one, and the slots of each that is
+ * brittle, between a few live nodes.
+ */
+static void divide_limits(struct fleet_task *t, uint64_t now)
 {
 	const GPtrArray *servers = t->g->servers.all;
 	uint32_t nodes = fleet_task_live_count(t);
@@ -426,10 +431,16 @@
 	for (guint i = 0; i < servers->len; i++) {
 		struct server_record *s = servers->pdata[i];
 
+		if (brittle_is_in_force(&s->brittle, now) &&
+		    (!s->brittle.ranked || now >= t->next_brittle_at))
+			brittle_set_rank(&s->brittle, fleet_task_rank(t, s->id),
+					 nodes, s->slots);
 		if (s->limit.per_s > 0)
 			rate_limit_set_rank(&s->limit,
 					    fleet_task_rank(t, s->id), nodes);
 	}
+	if (now >= t->next_brittle_at)
+		t->next_brittle_at = now + BRITTLE_RANK_INTERVAL_MS;
 }
 
 /*
@@ -449,7 +460,7 @@
 	send_loads(t);
 	send_limits(t, now);
 	findings_task_tick(t->findings, now);
-	divide_limits(t);
+	divide_limits(t, now);
 	send_source_status(t, now);
 	update_following(t, now);
 	peer_task_log_changes(&t->members, &t->logged);
