relay: judge what is out of reach by the servers tried lately

Reading the change for the fleet's size: a service counted as impaired when half of all its servers were lost.

Now only servers that are lost, or were reached in the last 2 s, are counted, and each probe that ends starts the next one. While any server is lost, those not tried lately are probed too, so that one crashed server of a quiet service does not look like a cut.

unit-relay_test, 3,200 servers: impaired after 20 lost ones among no recent contacts, not while the others were reached lately.

--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -902,7 +902,7 @@
 static bool choose_receiver(struct exchange_request *x, uint64_t now)
 {
 	struct server_reach r =
-		server_service_reach(&x->g->servers, x->service);
+		server_service_reach(&x->g->servers, now, x->service);
 	bool impaired = server_reach_is_impaired(&r);
 
 	x->helper = NULL;
@@ -911,7 +911,7 @@
 	    (impaired && x->relayed && !x->retry.sent))
 		return false;
 	impaired &= !x->relayed;
-	if (impaired && rng_below(&x->g->rng, r.ready) < r.lost &&
+	if (impaired && rng_below(&x->g->rng, r.known) < r.lost &&
 	    exchange_choose_helper(x, now))
 		return true;
 	x->server = exchange_pick_server(x, now);
--- a/exchange/intake-task.c
+++ b/exchange/intake-task.c
@@ -251,6 +251,7 @@
 	struct gateway_state *g = gateway;
 	const char *refusal = relay_refusal(g);
 	const char *from = http_server_header(req, RELAY_FROM_HEADER);
+	const char *id = http_server_header(req, g->header_names->request_id);
 
 	if (!cluster_key_matches(
 		    g->settings->cluster_key,
@@ -259,8 +260,7 @@
 		return;
 	}
 	log_event(LOG_EVENT_RELAY_ACCEPTED, "request=%s node=%s refused=%s",
-		  http_server_header(req, g->header_names->request_id),
-		  from ? from : "-", refusal ? refusal : "no");
+		  id ? id : "-", from ? from : "-", refusal ? refusal : "no");
 	if (refusal)
 		refuse_not_run(g, req, true, 503, refusal,
 			       DRAINING_RETRY_AFTER_MS);
--- a/exchange/relay-task.c
+++ b/exchange/relay-task.c
@@ -32,7 +32,9 @@
 	struct relay_candidate candidates[MAX_CANDIDATES];
 	uint32_t n = fleet_task_alive_members(x->g->fleet, &x->g->rng, members,
 					      MAX_CANDIDATES);
-	uint32_t left = x->retry.max_sent - x->retry.sent;
+	uint32_t left = x->retry.max_sent > x->retry.sent
+				? x->retry.max_sent - x->retry.sent
+				: 1;
 
 	for (uint32_t i = 0; i < n; i++)
 		describe_member(members[i], &candidates[i]);
--- a/exchange/servers.c
+++ b/exchange/servers.c
@@ -346,9 +346,12 @@
 	return at == UINT64_MAX || at <= now ? 0 : at - now;
 }
 
-/* Counts a service's ready servers and those of them that are out of reach. */
+/*
+ * Counts those of a service's ready servers that were tried lately. Of thousands
+ * that are few, but they tell what share is out of reach.
+ */
 struct server_reach server_service_reach(const struct server_table *t,
-					 const char *service)
+					 uint64_t now, const char *service)
 {
 	struct server_reach r = {0, 0};
 
@@ -358,16 +361,16 @@
 		if (s->state != SERVER_READY ||
 		    strcmp(s->service, service) != 0)
 			continue;
-		r.ready++;
+		r.known += reach_is_known(&s->reach, now);
 		r.lost += reach_is_lost(&s->reach);
 	}
 	return r;
 }
 
-/* Returns whether at least half of the servers are out of reach. */
+/* Returns whether at least half of the known servers are out of reach. */
 bool server_reach_is_impaired(const struct server_reach *r)
 {
-	return r->lost && 2 * r->lost >= r->ready;
+	return r->lost && 2 * r->lost >= r->known;
 }
 
 /*
--- a/exchange/servers.h
+++ b/exchange/servers.h
@@ -102,10 +102,10 @@
 	double delay_ratio; /* measured to expected delay, beyond the base */
 };
 
-/* How many of a service's ready servers there are, and are out of reach here. */
+/* Of how many of a service's ready servers it is known whether they are reached. */
 struct server_reach {
-	uint32_t ready;
-	uint32_t lost;
+	uint32_t known;
+	uint32_t lost; /* of these, are out of reach */
 };
 
 /* How a call went, as far as it says something about the server. */
@@ -137,7 +137,7 @@
 			const char *service);
 bool server_table_is_cut_off(const struct server_table *t, uint64_t now);
 struct server_reach server_service_reach(const struct server_table *t,
-					 const char *service);
+					 uint64_t now, const char *service);
 bool server_reach_is_impaired(const struct server_reach *r);
 bool server_hear_brittle(struct server_table *t, struct server_record *s,
 			 uint64_t now, double refusals_per_s);
--- a/relay/probe-task.c
+++ b/relay/probe-task.c
@@ -50,6 +50,8 @@
 	reach_on_contact(&s->reach, now);
 }
 
+static void start_due_probes(struct probe_task *t, uint64_t now);
+
 static void on_probe_closed(uv_handle_t *handle)
 {
 	struct probe *p = handle->data;
@@ -73,10 +75,12 @@
 	if (!s)
 		return;
 	s->reach.probing = false;
-	if (connected)
-		probe_task_on_contact(s, now);
-	else
+	if (!connected) {
 		probe_task_on_failure(t, s, now);
+		return;
+	}
+	probe_task_on_contact(s, now);
+	start_due_probes(t, now);
 }
 
 static void on_connect(uv_connect_t *req, int status)
@@ -133,6 +137,17 @@
 	start_due_probes(t, now);
 }
 
+/* Doubts all servers, or those of which it is not known whether they are reached. */
+static void doubt_others(struct probe_task *t, uint64_t now, bool all)
+{
+	for (guint i = 0; i < t->servers->all->len; i++) {
+		struct server_record *s = t->servers->all->pdata[i];
+
+		if (all || !reach_is_known(&s->reach, now))
+			reach_on_doubt(&s->reach, now);
+	}
+}
+
 /*
  * Handles a connection to the server that could not be made. What made it fail
  * may hide all servers, so the others are in doubt as well.
@@ -141,17 +156,11 @@
 			   uint64_t now)
 {
 	bool was_lost = reach_is_lost(&s->reach);
-	const GPtrArray *all = t->servers->all;
 
 	reach_on_failure(&s->reach, now);
-	if (was_lost)
-		return;
-	log_reach(s, false);
-	for (guint i = 0; i < all->len; i++) {
-		struct server_record *other = all->pdata[i];
-
-		reach_on_doubt(&other->reach, now);
-	}
+	if (!was_lost)
+		log_reach(s, false);
+	doubt_others(t, now, !was_lost);
 	start_due_probes(t, now);
 }
 
--- a/relay/reach.c
+++ b/relay/reach.c
@@ -1,6 +1,7 @@
 #include "relay/reach.h"
 
 #define FRESH_MS 300 /* so long a contact needs no confirmation */
+#define KNOWN_MS 2000 /* so long a contact says that the server is reached */
 
 /* Handles an answer, or a connection that could be made. */
 void reach_on_contact(struct reach *r, uint64_t now)
@@ -35,6 +36,13 @@
 	return r->failed_at != 0;
 }
 
+/* Returns whether the server is lost, or was reached lately. */
+bool reach_is_known(const struct reach *r, uint64_t now)
+{
+	return r->failed_at ||
+	       (r->contacted_at && now - r->contacted_at < KNOWN_MS);
+}
+
 /* Returns whether a connection to the server should be tried now. */
 bool reach_needs_probe(const struct reach *r, uint64_t now)
 {
--- a/relay/reach.h
+++ b/relay/reach.h
@@ -23,6 +23,7 @@
 void reach_on_failure(struct reach *r, uint64_t now);
 void reach_on_doubt(struct reach *r, uint64_t now);
 bool reach_is_lost(const struct reach *r);
+bool reach_is_known(const struct reach *r, uint64_t now);
 bool reach_needs_probe(const struct reach *r, uint64_t now);
 
 #endif
--- a/t/unit/relay_test.cc
+++ b/t/unit/relay_test.cc
@@ -64,9 +64,15 @@
 	{
 		reach_on_failure(&((server_record *)t.all->pdata[i])->reach, at);
 	}
-	bool impaired()
+	void reach_all(uint64_t now)
 	{
-		const server_reach r = server_service_reach(&t, "desk");
+		for (guint i = 0; i < t.all->len; i++)
+			reach_on_contact(
+				&((server_record *)t.all->pdata[i])->reach, now);
+	}
+	bool impaired(uint64_t now = 1000)
+	{
+		const server_reach r = server_service_reach(&t, now, "desk");
 
 		return server_reach_is_impaired(&r);
 	}
@@ -77,14 +83,26 @@
 	Table t(4);
 
 	EXPECT_FALSE(t.impaired());
+	t.reach_all(900);
 	t.lose(0, 1000);
 	EXPECT_FALSE(t.impaired());
 	t.lose(1, 1000);
 	EXPECT_TRUE(t.impaired());
-	const server_reach none = server_service_reach(&t.t, "other");
+	const server_reach none = server_service_reach(&t.t, 1000, "other");
 	EXPECT_FALSE(server_reach_is_impaired(&none));
 }
 
+TEST(ServiceReach, OfManyServersThoseTriedLatelyTell)
+{
+	Table t(3200);
+
+	t.reach_all(1000);
+	for (uint32_t i = 0; i < 20; i++)
+		t.lose(i, 5000);
+	EXPECT_FALSE(t.impaired(1500));
+	EXPECT_TRUE(t.impaired(5000));
+}
+
 TEST(ServiceReach, ACrashedServerIsNotTakenForACutOffNode)
 {
 	Table t(2);
