--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -549,6 +549,9 @@
 	    (x->events.mid_event || x->stream_status != EVENT_STREAM_OK ||
 	     (x->unframed && x->answer_started && !x->started_unframed)))
 		x->answer.result = RETRY_RESULT_BROKEN;
+	/* Unless a helper says otherwise, a server may have run the request. */
+	if (x->answer.result == RETRY_RESULT_COMPLETE && !x->by_server)
+		x->answer.result = RETRY_RESULT_BROKEN;
 	record_call_end(x, end);
 	if (x->answer.result == RETRY_RESULT_COMPLETE && x->streamed) {
 		retry_count_answer(&x->retry, &x->answer);
@@ -735,6 +738,8 @@
 
 	x->head_ms =
 		(double)(gateway_now(x->g) - x->attempt_at) + TIME_OFFSET_MS;
+	x->by_server = !x->helper ||
+		       http_message_find(head->fields, RELAY_SERVER_HEADER);
 	if (!x->helper)
 		probe_task_on_contact(x->server, gateway_now(x->g));
 	read_load_header(x, http_message_find(head->fields, names->load));
--- a/exchange/exchange.h
+++ b/exchange/exchange.h
@@ -47,6 +47,7 @@
 	struct retry_answer answer;
 	struct http_message_fields head;
 	GString *body; /* of an answer that is not a stream */
+	bool by_server; /* a server gave the answer, not a helper of its own */
 	bool streamed; /* the answer is an event stream */
 	bool unframed; /* the answer ends with its connection */
 	enum event_stream_status stream_status;
--- a/exchange/intake-task.c
+++ b/exchange/intake-task.c
@@ -256,7 +256,7 @@
 	if (!cluster_key_matches(
 		    g->settings->cluster_key,
 		    http_server_header(req, RELAY_CLUSTER_KEY_HEADER))) {
-		refuse_not_run(g, req, false, 403, "no-cluster-key", 0);
+		refuse_not_run(g, req, true, 403, "no-cluster-key", 0);
 		return;
 	}
 	log_event(LOG_EVENT_RELAY_ACCEPTED, "request=%s node=%s refused=%s",
--- a/t/t0027-cut-off-nodes.sh
+++ b/t/t0027-cut-off-nodes.sh
@@ -110,6 +110,27 @@
 	awk -v s="$slowest" 'BEGIN {exit !(s < 0.1)}' || fail "a refusal takes $slowest s"
 	cut_off heal $NODES
 fi
+
+say "a request that crashes servers, by way of other nodes"
+if [ -z "${CUT_MODE:-}" ]; then
+	for k in $BACKENDS; do
+		curl -fs -m 2 -d "one /read/slow?page=bad " "http://$(backend_address "$k")/crash-on" || fail "backend$k"
+	done
+	cut_off refuse $CUT_NODES
+	sleep 1
+	for i in 1 2 3 4 5 6 7 8 9 10; do
+		for n in $CUT_NODES; do
+			ID="bad-$i-$n" send "$n" GET '/read/slow?page=bad' >/dev/null
+			sleep 0.2
+		done
+	done
+	cut_off heal $CUT_NODES
+	sleep 2
+	bad=$(for k in $BACKENDS; do curl -fs -m 5 "http://$(backend_address "$k")/arrived"; done | grep -c ' bad-')
+	say "it reached servers $bad times"
+	# Three crashes, what is sent until all nodes know, and three retries.
+	[ "$bad" -le 9 ] || fail "a request that crashes servers reached $bad of them"
+fi
 for n in $NODES; do crash "client$n"; done
 sleep 1
 check_order_runs
