--- a/t/t0026-crashing-request.sh
+++ b/t/t0026-crashing-request.sh
@@ -5,7 +5,7 @@
 # servers, or that are repeated often, must be served.
 set -u
 cd "$(dirname "$0")/.." || exit 1
-BASE=${BASE:-6200}
+BASE=${BASE:-3200}
 . t/lib.sh
 . t/lib-routes.sh
 
