--- a/t/unit/relay_test.cc
+++ b/t/unit/relay_test.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 extern "C" {
+#include "exchange/pick.h"
 #include "relay/helpers.h"
 #include "relay/reach.h"
 }
@@ -103,6 +104,23 @@
 	EXPECT_TRUE(t.impaired(5000));
 }
 
+TEST(ServiceReach, NoRequestGoesToALostServer)
+{
+	Table t(2);
+	pick_criteria c = {};
+	server_work work;
+	rng r;
+
+	rng_seed(&r, 1);
+	c.service = "desk";
+	t.lose(0, 1000);
+	for (int i = 0; i < 20; i++)
+		EXPECT_EQ(pick_best_server(&t.t, 1100, &c, &r, &work),
+			  t.t.all->pdata[1]);
+	t.lose(1, 1100);
+	EXPECT_FALSE(pick_best_server(&t.t, 1200, &c, &r, &work));
+}
+
 TEST(ServiceReach, ACrashedServerIsNotTakenForACutOffNode)
 {
 	Table t(2);
