exchange: log requests whose clients have left before they begin

A request that is dispatched and cancelled a few ms later looks like one whose client left just then; what tells them apart is whether the client had already closed when the request was read. E721 and clients_left_total say so, by a look at the socket (POLLRDHUP), which sees the end behind unread bytes too. The request is served as before.

One poll() without waiting for each request.

--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -1091,6 +1091,14 @@
 	return x;
 }
 
+/* Logs and counts a request whose client has left before it is started. */
+static void note_client_left(struct exchange_request *x)
+{
+	log_event(LOG_EVENT_CLIENT_LEFT, "request=%s route=%s attempts=%u",
+		  x->id, x->route->name, x->retry.sent);
+	counter_add(&x->g->counter_set, COUNTER_CLIENTS_LEFT, 1);
+}
+
 /*
  * Starts serving an admitted request. It frees itself after its answer; org is
  * the client's organisation or ROUTE_NONE, id is copied. If another node has
@@ -1113,5 +1121,7 @@
 	if (shift && !relayed)
 		shift_on_request(shift);
 	http_server_on_disconnect(req, on_client_disconnect, x);
+	if (http_server_client_has_left(req))
+		note_client_left(x);
 	start_attempt(x);
 }
--- a/http/server.c
+++ b/http/server.c
@@ -790,6 +790,15 @@
 	return &req->fields;
 }
 
+/*
+ * Returns whether the client has closed its connection, though that may not have
+ * been read yet: its end can lie in the socket behind the request itself.
+ */
+bool http_server_client_has_left(const struct http_server_request *req)
+{
+	return socket_peer_has_closed(&req->conn->tcp);
+}
+
 /*
  * Sets the callback that runs once, just before the request is freed: after its
  * response was written, or when its connection has closed.
--- a/http/socket.c
+++ b/http/socket.c
@@ -2,6 +2,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #define KEEPALIVE_IDLE_S 1
@@ -25,6 +26,21 @@
 	       error != 0;
 }
 
+/*
+ * Returns whether the peer has closed its side of the connection or reset it,
+ * also if bytes that it sent before are unread. Returns false if the socket
+ * cannot be queried.
+ */
+bool socket_peer_has_closed(const uv_tcp_t *tcp)
+{
+	struct pollfd p = {.events = POLLRDHUP};
+
+	if (uv_fileno((const uv_handle_t *)tcp, &p.fd) != 0)
+		return false;
+	return poll(&p, 1, 0) > 0 &&
+	       (p.revents & (POLLRDHUP | POLLHUP | POLLERR));
+}
+
 /*
  * Sets the options that all connections share: no delay of small writes
  * (TCP_NODELAY), keepalive probes that detect a silent peer, and a limit of
