t: show requests that are sent on for clients that have left

For idempotent requests, orders and streams alike. unit-http_server_test: a client that leaves after it has sent 300 KB behind its request is not noticed within 500 ms, nor ever while the answer is pending.

--- /dev/null
+++ b/t/unit/http_server_test.cc
@@ -0,0 +1,149 @@
+// Tests the HTTP server with a client on a real socket, in the test's own thread:
+// the test decides when the loop runs, and so what lies in the socket by then.
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <vector>
+
+extern "C" {
+#include "http/server.h"
+}
+
+namespace {
+
+const char *kAddress = "127.0.0.1:9787";
+const uint64_t kReceiveMs = 2000;
+const size_t kMaxBodyBytes = 1 << 20;
+
+struct TestServer {
+	uv_loop_t loop;
+	http_server *server;
+	std::vector<http_server_request *> requests; // NULL: disconnected
+	std::vector<bool> had_left; // when the request was dispatched
+	TestServer()
+	{
+		uv_loop_init(&loop);
+		server = http_server_listen(&loop, kAddress, kMaxBodyBytes,
+					    kReceiveMs, on_request, this,
+					    nullptr);
+	}
+	~TestServer()
+	{
+		http_server_shutdown(server);
+		run_ms(20);
+	}
+	static void on_request(void *u, http_server_request *req)
+	{
+		auto *t = static_cast<TestServer *>(u);
+		t->requests.push_back(req);
+		t->had_left.push_back(http_server_client_has_left(req));
+		http_server_on_disconnect(req, on_disconnect, t);
+	}
+	// The tests have one open request at a time.
+	static void on_disconnect(void *u)
+	{
+		static_cast<TestServer *>(u)->requests.back() = nullptr;
+	}
+	void run_ms(int ms)
+	{
+		for (int i = 0; i < ms; i++) {
+			uv_run(&loop, UV_RUN_NOWAIT);
+			usleep(1000);
+		}
+	}
+	void wait_for_requests(size_t n)
+	{
+		for (int i = 0; i < 1000 && requests.size() < n; i++)
+			run_ms(1);
+	}
+};
+
+struct TestClient {
+	int fd;
+	TestClient()
+	{
+		sockaddr_in sa = {};
+		fd = socket(AF_INET, SOCK_STREAM, 0);
+		sa.sin_family = AF_INET;
+		sa.sin_port = htons(9787);
+		sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		EXPECT_EQ(connect(fd, (sockaddr *)&sa, sizeof(sa)), 0);
+	}
+	~TestClient()
+	{
+		leave();
+	}
+	void send_bytes(const std::string &s)
+	{
+		ASSERT_EQ(send(fd, s.data(), s.size(), MSG_NOSIGNAL),
+			  (ssize_t)s.size());
+	}
+	void leave()
+	{
+		if (fd >= 0)
+			close(fd);
+		fd = -1;
+		usleep(20000);
+	}
+};
+
+const char *kRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+
+TEST(ClientHasLeft, IsKnownBeforeTheEndIsRead)
+{
+	TestServer s;
+	TestClient c;
+	c.send_bytes(kRequest);
+	c.leave();
+	s.wait_for_requests(1);
+	ASSERT_EQ(s.had_left.size(), 1u);
+	EXPECT_TRUE(s.had_left[0]);
+}
+
+TEST(ClientHasLeft, IsFalseForClientThatWaits)
+{
+	TestServer s;
+	TestClient c;
+	c.send_bytes(kRequest);
+	s.wait_for_requests(1);
+	ASSERT_EQ(s.had_left.size(), 1u);
+	EXPECT_FALSE(s.had_left[0]);
+}
+
+TEST(ClientHasLeft, IsKnownBehindPipelinedRequests)
+{
+	TestServer s;
+	TestClient c;
+	c.send_bytes(std::string(kRequest) + kRequest);
+	s.wait_for_requests(1);
+	c.leave();
+	http_server_reply(s.requests[0], 200, nullptr, "", 0);
+	s.wait_for_requests(2);
+	if (s.had_left.size() > 1) {
+		EXPECT_TRUE(s.had_left[1]);
+	}
+}
+
+// A client may send so much behind a request that the server stops to read.
+TEST(Disconnect, IsNoticedBehindUnreadInput)
+{
+	TestServer s;
+	TestClient c;
+	const std::string behind(300 * 1024, 'x');
+	c.send_bytes(kRequest);
+	s.wait_for_requests(1);
+	ASSERT_NE(s.requests[0], nullptr);
+	for (size_t sent = 0; sent < behind.size(); sent += 30 * 1024) {
+		c.send_bytes(behind.substr(sent, 30 * 1024));
+		s.run_ms(2);
+	}
+	EXPECT_NE(s.requests[0], nullptr);
+	c.leave();
+	s.run_ms(500);
+	EXPECT_EQ(s.requests[0], nullptr);
+}
+
+} // namespace
