exchange: do not start attempts for clients that have left

Cause: a request and its client's end can lie in the socket together, after a pause of the process, behind a long accept queue or on a busy processor. The request is read and dispatched first; the end is read a round of the loop later. Class: a decision on input that is older than what has arrived since.

Each attempt now asks the socket whether its client has closed (POLLRDHUP), and is not started if so; the connection closes. That covers first attempts, requests that waited for the configuration, relayed ones, pipelined ones and repeats. The product's own API asks when a request is dispatched. A client that only closes its sending side counts as gone, as before: the end was taken for a disconnect a round later.

Ruled out: noticing shorter pauses (MIN_PAUSE_MS), since a full accept queue needs no pause.

--- a/api/client-listener.c
+++ b/api/client-listener.c
@@ -28,7 +28,9 @@
 	const char *path = http_server_path(req);
 	const char *method = http_server_method(req);
 
-	if (!strcmp(path, "/healthz") || !strcmp(path, "/readyz"))
+	if (http_server_client_has_left(req))
+		http_server_drop(req);
+	else if (!strcmp(path, "/healthz") || !strcmp(path, "/readyz"))
 		operator_handle_health(n, req);
 	else if (g_str_has_prefix(path, "/services/"))
 		plain_start(n, req);
--- a/counters.h
+++ b/counters.h
@@ -30,7 +30,7 @@
 	X(ORDERS_REPLAYED, "orders_replayed_total",                            \
 	  "recorded results replayed")                                         \
 	X(CLIENTS_LEFT, "clients_left_total",                                  \
-	  "requests whose client had left before they were started")           \
+	  "requests not sent because their client had left")                   \
 	X(STORE_CALLS, "store_calls_total", "calls to the object API")         \
 	X(STORE_FAILURES, "store_failures_total",                              \
 	  "calls to the object API that failed")                               \
--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -929,7 +929,29 @@
 		exchange_choose_helper(x, now));
 }
 
-/* Starts an attempt, or ends the request if there is no server for it. */
+/*
+ * Ends the request if its client has left, which is not read yet if the process
+ * has just gone on after a pause or has more to do than it can. Returns whether
+ * it did.
+ */
+static bool drop_if_client_left(struct exchange_request *x)
+{
+	if (x->req && http_server_client_has_left(x->req))
+		http_server_drop(x->req);
+	if (x->req)
+		return false;
+	log_event(LOG_EVENT_CLIENT_LEFT, "request=%s route=%s attempts=%u",
+		  x->id, x->route->name, x->retry.sent);
+	counter_add(&x->g->counter_set, COUNTER_CLIENTS_LEFT, 1);
+	log_request_end(x, 0, "client-gone");
+	free_request(x);
+	return true;
+}
+
+/*
+ * Starts an attempt, or ends the request if its client has left or there is no
+ * server for it.
+ */
 static void start_attempt(struct exchange_request *x)
 {
 	uint64_t now = gateway_now(x->g);
@@ -938,6 +960,8 @@
 	uint64_t blocked_ms = crash_keys_blocked_ms(
 		&x->g->crash_keys, now, x->crash_keys, x->n_crash_keys);
 
+	if (drop_if_client_left(x))
+		return;
 	INVARIANT(retry_may_send(&x->retry),
 		  "exchange: a request that may have run is not sent again");
 	if (blocked_ms || !choose_receiver(x, now)) {
@@ -1091,14 +1115,6 @@
 	return x;
 }
 
-/* Logs and counts a request whose client has left before it is started. */
-static void note_client_left(struct exchange_request *x)
-{
-	log_event(LOG_EVENT_CLIENT_LEFT, "request=%s route=%s attempts=%u",
-		  x->id, x->route->name, x->retry.sent);
-	counter_add(&x->g->counter_set, COUNTER_CLIENTS_LEFT, 1);
-}
-
 /*
  * Starts serving an admitted request. It frees itself after its answer; org is
  * the client's organisation or ROUTE_NONE, id is copied. If another node has
@@ -1121,7 +1137,5 @@
 	if (shift && !relayed)
 		shift_on_request(shift);
 	http_server_on_disconnect(req, on_client_disconnect, x);
-	if (http_server_client_has_left(req))
-		note_client_left(x);
 	start_attempt(x);
 }
--- a/http/server.c
+++ b/http/server.c
@@ -799,6 +799,15 @@
 	return socket_peer_has_closed(&req->conn->tcp);
 }
 
+/*
+ * Closes the request's connection without an answer. The disconnect callback
+ * runs, and the request is freed.
+ */
+void http_server_drop(struct http_server_request *req)
+{
+	close_conn(req->conn);
+}
+
 /*
  * Sets the callback that runs once, just before the request is freed: after its
  * response was written, or when its connection has closed.
--- a/http/server.h
+++ b/http/server.h
@@ -48,6 +48,7 @@
 http_server_fields(const struct http_server_request *req);
 
 bool http_server_client_has_left(const struct http_server_request *req);
+void http_server_drop(struct http_server_request *req);
 void http_server_on_disconnect(struct http_server_request *req,
 			       http_server_disconnect_cb cb, void *user);
 void http_server_add_header(struct http_server_request *req, const char *name,
