http: notice clients that leave while their input is not read

A server worked on for clients that had left if they had sent more than 256 KB behind their request: reading stops there until the answer has ended, and the client's end lies behind what is not read. While reading is stopped, the server now asks the socket five times a second whether the client has closed.

unit-http_server_test, Disconnect.IsNoticedBehindUnreadInput: not noticed at all before, within 500 ms after. Ruled out: reading on and dropping what comes, since a client that pipelines would have to send again what it has been acknowledged. A client whose unsent bytes keep its end from reaching this machine is not seen; by its own kernel it has not closed yet.

--- a/http/server.c
+++ b/http/server.c
@@ -15,6 +15,8 @@
 #define USER_TIMEOUT_MS 8000
 /* Reading stops when more than this waits behind the current request. */
 #define MAX_PIPELINED_BYTES (256 * 1024)
+/* How often a client that is not read from is checked for having left. */
+#define CLIENT_CHECK_MS 200
 /* How long a connection reads on after its last response; see linger(). */
 #define LINGER_MS 300
 /* A client that has connected is expected to send its first request so soon. */
@@ -289,10 +291,25 @@
 	flush(c);
 }
 
+/* Stops to read until the response has ended; see MAX_PIPELINED_BYTES. */
+static void pause_reading(struct conn *c)
+{
+	uv_read_stop((uv_stream_t *)&c->tcp);
+	c->reading = false;
+	arm_timer(c, CLIENT_CHECK_MS);
+}
+
 static void on_timeout(uv_timer_t *timer)
 {
 	struct conn *c = timer->data;
 
+	if (c->phase == PHASE_RESPONSE && !c->reading) {
+		if (socket_peer_has_closed(&c->tcp))
+			close_conn(c);
+		else
+			arm_timer(c, CLIENT_CHECK_MS);
+		return;
+	}
 	if (c->phase == PHASE_BODY || (c->phase == PHASE_HEAD && c->input->len))
 		reject(c, 408, "slow-request");
 	else if (c->phase != PHASE_RESPONSE)
@@ -563,8 +580,7 @@
 	if (c->phase != PHASE_RESPONSE) {
 		parse_input(c);
 	} else if (c->input->len > MAX_PIPELINED_BYTES) {
-		uv_read_stop(stream);
-		c->reading = false;
+		pause_reading(c);
 	}
 }
 
