--- a/t/helper/relay.c
+++ b/t/helper/relay.c
@@ -5,6 +5,8 @@
  *   {"mode":"silence"}  silences open connections for good; forwards new ones
  *   {"mode":"cut"}      silences open connections and all new ones
  *   {"mode":"reset"}    closes open connections; forwards new ones
+ *   {"mode":"repeat"}   from now on, when a client sends again on a connection,
+ *                       first sends it a second copy of the last answer there
  * A silenced connection stays open and drops what it receives.
  */
 #include <json-c/json.h>
@@ -26,6 +28,8 @@
 	uv_tcp_t client; /* accepted from the client */
 	uv_tcp_t server; /* connected to the target */
 	uv_connect_t connect;
+	GString *answer; /* what the server sent since the client did */
+	bool answered; /* the server has sent since the client did */
 	bool silent;
 	bool closing;
 	int open_handles; /* not yet closed */
@@ -40,6 +44,7 @@
 static struct sockaddr_in target;
 static GList *links;
 static bool silence_new; /* connections, by mode "cut" */
+static bool repeat_answers;
 
 static void on_closed(uv_handle_t *h)
 {
@@ -47,6 +52,7 @@
 
 	if (--link->open_handles == 0) {
 		links = g_list_remove(links, link);
+		g_string_free(link->answer, TRUE);
 		g_free(link);
 	}
 }
@@ -86,6 +92,24 @@
 		on_written(&w->req, 0);
 }
 
+/* Keeps the last answer, and sends its copy if the client sends again. */
+static void keep_or_repeat(struct link *link, bool from_client,
+			   const char *bytes, size_t len)
+{
+	if (!from_client) {
+		if (!link->answered)
+			g_string_truncate(link->answer, 0);
+		link->answered = true;
+		g_string_append_len(link->answer, bytes, (gssize)len);
+		return;
+	}
+	if (repeat_answers && link->answered)
+		forward((uv_stream_t *)&link->client,
+			g_memdup2(link->answer->str, link->answer->len),
+			link->answer->len);
+	link->answered = false;
+}
+
 static void on_read(uv_stream_t *from, ssize_t len, const uv_buf_t *buf)
 {
 	struct link *link = from->data;
@@ -101,6 +125,8 @@
 			uv_read_stop(from);
 		return;
 	}
+	keep_or_repeat(link, from == (uv_stream_t *)&link->client, buf->base,
+		       (size_t)len);
 	forward(to, buf->base, (size_t)len);
 }
 
@@ -126,6 +152,7 @@
 		return;
 	link = g_new0(struct link, 1);
 	link->silent = silence_new;
+	link->answer = g_string_new(NULL);
 	link->open_handles = 2;
 	link->client.data = link->server.data = link->connect.data = link;
 	uv_tcp_init(loop, &link->client);
@@ -153,6 +180,7 @@
 
 	(void)owner;
 	silence_new = !strcmp(mode, "cut");
+	repeat_answers = !strcmp(mode, "repeat");
 	for (GList *l = links_now; l; l = l->next) {
 		struct link *link = l->data;
 
