store: make each call on a connection of its own

What callers would see: an order that is repeated at another node runs twice. A late copy of another order's successful claim hides that this order's claim was refused.

Ruled out: comparing the ETag of the answer with the claim's condition, since a new object's is not known beforehand.

--- a/store/store-task.c
+++ b/store/store-task.c
@@ -145,6 +145,7 @@
 	c->counts_for_health = counts_for_health;
 	c->body = g_string_new(NULL);
 	req->address = s->address;
+	req->new_connection = true; /* its answer names no call */
 	req->connect_ms = s->timeout_ms;
 	req->progress_ms = s->timeout_ms + extra_ms;
 	req->total_ms = s->timeout_ms + extra_ms;
