fleet: transfer state and members on connections of their own

The same cause as in the store's calls: a node's answers with its state or its members name no request, so a late copy of one could be taken for the other, or for a later one. Nodes do not send answers twice, and no test shows a fault; a relay or a library between them might.

--- a/fleet/state-task.c
+++ b/fleet/state-task.c
@@ -422,6 +422,7 @@
 		.path = path,
 		.headers = headers,
 		.omit_content_length = true,
+		.new_connection = true, /* its answer names no call */
 		.connect_ms = RESPONSE_PROGRESS_MS,
 		.progress_ms = RESPONSE_PROGRESS_MS,
 		.total_ms = RESPONSE_TOTAL_MS,
@@ -489,6 +490,7 @@
 		.path = path,
 		.headers = headers,
 		.omit_content_length = true,
+		.new_connection = true, /* its answer names no call */
 		.connect_ms = RESPONSE_PROGRESS_MS,
 		.progress_ms = RESPONSE_PROGRESS_MS,
 		.total_ms = RESPONSE_TOTAL_MS,
--- a/http/client.h
+++ b/http/client.h
@@ -51,7 +51,12 @@
 	uint32_t total_ms; /* limit to the whole call; 0: none */
 	/* Skip connections that were idle for longer; 0: no limit. */
 	uint32_t max_idle_ms;
-	bool new_connection; /* open a new connection and close it afterwards */
+	/*
+	 * Open a new connection and close it afterwards. Needed unless the
+	 * response names its request: a late copy of an earlier response could
+	 * be taken for it.
+	 */
+	bool new_connection;
 	bool has_host_header; /* `headers` has the Host field */
 	bool omit_content_length; /* send no Content-Length */
 	/*
