http: keep connections only if their responses name the request

What a client could see: another request's answer. Pools of connections are shared by all calls to an address. A plain service that does not echo the request's id, or an engine's load report, gives answers that are related to a request by their connection alone; a late copy of one is taken for the next call's answer, and the check of the id passes it as none is there.

A connection now goes back to its pool only after a response that has the call's correlation header, or x-request-id; load reports have connections of their own. Client.ConnectionIsNotReusedAfterResponseWithoutId failed before.

--- a/backend/table-task.c
+++ b/backend/table-task.c
@@ -107,6 +107,7 @@
 		.address = t->node->cfg->servers[server].address,
 		.method = "GET",
 		.path = "/load",
+		.new_connection = true, /* a report names no request */
 		.connect_ms = REPORT_TIMEOUT_MS,
 		.progress_ms = REPORT_TIMEOUT_MS,
 		.total_ms = REPORT_TIMEOUT_MS,
--- a/http/client.c
+++ b/http/client.c
@@ -18,6 +18,7 @@
 /* TCP_USER_TIMEOUT: how long sent bytes may stay unacknowledged. */
 #define USER_TIMEOUT_MS 3000
 #define MAX_HEAD_FIELDS 128
+#define REQUEST_ID_HEADER "x-request-id"
 /* Bytes of interim responses, and of those to other requests, before the head. */
 #define MAX_BYTES_BEFORE_HEAD (1024 * 1024)
 
@@ -61,6 +62,7 @@
 	bool head_seen; /* of the final response, not of an interim one */
 	bool closed;
 	bool server_closes; /* the response has "Connection: close" */
+	bool identified; /* the response names its request */
 };
 
 struct http_client_call {
@@ -345,12 +347,14 @@
 /*
  * Ends the call after its complete response and keeps the connection if it can
  * be reused. Bytes after the response (`trailing`) belong to no request, so
- * that the connection must close.
+ * that the connection must close; so must one whose responses do not name their
+ * requests, since a late copy of one would be taken for the next.
  */
 static void complete_response(struct conn *c, bool trailing)
 {
 	struct http_client_call *call = c->call;
 	bool keep = !trailing && !c->writing && !c->server_closes &&
+		    c->identified &&
 		    http_should_keep_alive(&c->parser) && !c->pool->detached;
 
 	if (keep) {
@@ -393,6 +397,15 @@
 	return 0;
 }
 
+/* Returns whether the response says which request it belongs to. */
+static bool names_request(const struct conn *c)
+{
+	const char *header = c->call->correlation_header;
+
+	return http_message_find(&c->fields,
+				 header ? header : REQUEST_ID_HEADER) != NULL;
+}
+
 /* Returns whether the response's correlation header names another request. */
 static bool is_mismatched(const struct conn *c)
 {
@@ -419,7 +432,7 @@
 	const char *retry_after = http_message_find(f, "retry-after");
 	struct http_client_head head = {
 		.status = (int)c->parser.status_code,
-		.request_id = http_message_find(f, "x-request-id"),
+		.request_id = http_message_find(f, REQUEST_ID_HEADER),
 		.etag = http_message_find(f, "etag"),
 		.type = http_message_find(f, "content-type"),
 		.retry_after_s = -1,
@@ -449,6 +462,7 @@
 	c->server_closes =
 		connection && !g_ascii_strcasecmp(connection, "close");
 	c->keep_alive_ms = keep_alive_timeout(&c->fields);
+	c->identified = names_request(c);
 	if (is_mismatched(c)) {
 		c->discarding = true;
 		c->pool->http_client->mismatch_count++;
--- a/t/unit/http_test.cc
+++ b/t/unit/http_test.cc
@@ -281,4 +281,17 @@
 	http_message_fields_clear(&f);
 }
 
+// A response that names no request could be a late copy of an earlier one, so its
+// connection must carry no further request.
+TEST(Client, ConnectionIsNotReusedAfterResponseWithoutId)
+{
+	TestClient c;
+	c.start("a");
+	c.wait_for_request();
+	c.server.send_bytes("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody");
+	ASSERT_EQ(c.wait_for_outcome(), HTTP_CLIENT_COMPLETE);
+	c.start("b");
+	EXPECT_EQ(http_client_connect_count(c.http), 2u);
+}
+
 } // namespace
