http: do not send on idle connections with something to read

A connection that the server has closed, or on which it has sent bytes of no request, was used again if that had not been read yet: after a pause of the process or in the same round of the loop. The request then ends without an answer, which for one that is not idempotent is a 502 that was not needed, or gets the bytes as its answer.

The client asks the socket before it takes an idle connection. One poll() without waiting for each request on a kept connection.

--- a/http/client.c
+++ b/http/client.c
@@ -354,8 +354,8 @@
 {
 	struct http_client_call *call = c->call;
 	bool keep = !trailing && !c->writing && !c->server_closes &&
-		    c->identified &&
-		    http_should_keep_alive(&c->parser) && !c->pool->detached;
+		    c->identified && http_should_keep_alive(&c->parser) &&
+		    !c->pool->detached;
 
 	if (keep) {
 		call->conn = NULL;
@@ -674,9 +674,12 @@
  */
 static struct conn *pop_idle(struct pool *p, uint32_t max_idle_ms)
 {
-	struct conn *c = g_queue_peek_head(&p->idle);
+	struct conn *c;
 	uint64_t now = uv_now(p->http_client->loop);
 
+	/* Its end, or bytes of no request, may not have been read yet. */
+	while ((c = g_queue_peek_head(&p->idle)) && socket_has_input(&c->tcp))
+		close_conn(c);
 	if (!c || (max_idle_ms && now - c->idle_since_ms > max_idle_ms))
 		return NULL;
 	g_queue_pop_head(&p->idle);
--- a/http/socket.c
+++ b/http/socket.c
@@ -26,6 +26,18 @@
 	       error != 0;
 }
 
+/*
+ * Returns whether there is something to read: bytes, the peer's end or an error.
+ * Returns false if the socket cannot be queried.
+ */
+bool socket_has_input(const uv_tcp_t *tcp)
+{
+	struct pollfd p = {.events = POLLIN};
+
+	return uv_fileno((const uv_handle_t *)tcp, &p.fd) == 0 &&
+	       poll(&p, 1, 0) > 0;
+}
+
 /*
  * Returns whether the peer has closed its side of the connection or reset it,
  * also if bytes that it sent before are unread. Returns false if the socket
--- a/http/socket.h
+++ b/http/socket.h
@@ -6,6 +6,7 @@
 
 /* What the HTTP client and server share on the TCP level. */
 bool socket_was_reset(uv_tcp_t *tcp);
+bool socket_has_input(const uv_tcp_t *tcp);
 bool socket_peer_has_closed(const uv_tcp_t *tcp);
 void socket_set_options(uv_tcp_t *tcp, unsigned int user_timeout_ms);
 
--- a/t/unit/http_test.cc
+++ b/t/unit/http_test.cc
@@ -294,4 +294,32 @@
 	EXPECT_EQ(http_client_connect_count(c.http), 2u);
 }
 
+// The server's close may lie in the socket unread when the next call starts.
+TEST(Client, ConnectionThatServerHasClosedIsNotReused)
+{
+	TestClient c;
+	c.start("a");
+	c.wait_for_request();
+	c.server.send_bytes(kFramed);
+	ASSERT_EQ(c.wait_for_outcome(), HTTP_CLIENT_COMPLETE);
+	c.server.close_connection();
+	usleep(20000);
+	c.start("b");
+	EXPECT_EQ(http_client_connect_count(c.http), 2u);
+}
+
+// Bytes that arrived on an idle connection belong to no request.
+TEST(Client, ConnectionWithUnreadBytesIsNotReused)
+{
+	TestClient c;
+	c.start("a");
+	c.wait_for_request();
+	c.server.send_bytes(kFramed);
+	ASSERT_EQ(c.wait_for_outcome(), HTTP_CLIENT_COMPLETE);
+	c.server.send_bytes(kFramed);
+	usleep(20000);
+	c.start("b");
+	EXPECT_EQ(http_client_connect_count(c.http), 2u);
+}
+
 } // namespace
