http: survive a socket that cannot be created

What callers would see: a whole node hanging or crashing. When the process is out of descriptors, uv_tcp_init_ex() fails and takes the handle out of the loop's list; to close it afterwards takes it out a second time, by pointers that are no longer its own. Other handles are lost from the list, memory that was freed is written to, and uv_run() or uv_walk() may never end. Class: an object is destroyed as if its construction had succeeded.

The handle is now initialised without a socket in that case, and the call ends as not sent. Client.CallWithoutDescriptorEndsAsNotSent: ended by its alarm before (the loop's list had no end; the first play ran until it was ended by hand), passes after; valgrind reports no invalid write any more (one before). Other places that create sockets (crash/, relay/, member/, fleet/) create them later or check: looked at.

--- a/http/client.c
+++ b/http/client.c
@@ -660,8 +660,13 @@
 	c->connect.data = c;
 	p->open++;
 	p->http_client->connect_count++;
-	uv_tcp_init_ex(p->http_client->loop, &c->tcp, AF_INET);
 	uv_timer_init(p->http_client->loop, &c->timer);
+	if (uv_tcp_init_ex(p->http_client->loop, &c->tcp, AF_INET) != 0) {
+		/* It is no handle of the loop then, and could not be closed. */
+		uv_tcp_init(p->http_client->loop, &c->tcp);
+		fail_conn(c, HTTP_CLIENT_NOT_SENT);
+		return;
+	}
 	socket_set_options(&c->tcp, USER_TIMEOUT_MS);
 	if (uv_tcp_connect(&c->connect, &c->tcp, (const struct sockaddr *)sa,
 			   on_connect))
--- a/t/unit/http_test.cc
+++ b/t/unit/http_test.cc
@@ -6,6 +6,7 @@
 #include <arpa/inet.h>
 #include <poll.h>
 #include <string>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -322,4 +323,48 @@
 	EXPECT_EQ(http_client_connect_count(c.http), 2u);
 }
 
+// Lets the process open no more descriptors while it exists.
+struct NoDescriptors {
+	rlimit before;
+	NoDescriptors()
+	{
+		rlimit none;
+		getrlimit(RLIMIT_NOFILE, &before);
+		none = before;
+		none.rlim_cur = 3;
+		setrlimit(RLIMIT_NOFILE, &none);
+	}
+	~NoDescriptors()
+	{
+		setrlimit(RLIMIT_NOFILE, &before);
+	}
+};
+
+void count_handle(uv_handle_t *, void *count)
+{
+	++*static_cast<int *>(count);
+}
+
+// A socket that cannot be created must not damage the loop's list of handles.
+TEST(Client, CallWithoutDescriptorEndsAsNotSent)
+{
+	TestClient c;
+	uv_timer_t timer;
+	int handles = 0;
+	alarm(5); // a damaged list may have no end
+	{
+		NoDescriptors none;
+		c.start("a");
+		uv_timer_init(&c.loop, &timer);
+		EXPECT_EQ(c.wait_for_outcome(), HTTP_CLIENT_NOT_SENT);
+	}
+	uv_walk(&c.loop, count_handle, &handles);
+	alarm(0);
+	EXPECT_EQ(handles, 1);
+	c.start("a");
+	c.wait_for_request();
+	c.server.send_bytes(kFramed);
+	EXPECT_EQ(c.wait_for_outcome(), HTTP_CLIENT_COMPLETE);
+}
+
 } // namespace
