http: do not send a request after a pause beyond its time

A process that was paused while a connection was being made sends the request when it goes on, however long ago its client's time ended, with the time left from before the pause: the loop handles sockets before timers. What the server gets is a permission that has run out (BUDGET: more time than is left), for a client that has gone.

A connection that is made after the call's timer was due is closed unused, and the call ends as not sent. Client.RequestIsNotSentAfterPauseBeyondDeadline: sent 100 ms after its time before, not at all after.

--- a/http/client.c
+++ b/http/client.c
@@ -630,6 +630,15 @@
 	}
 }
 
+/*
+ * Returns whether the call's timer is due. After a pause of the process, what
+ * happened to its sockets meanwhile is handled before its timers.
+ */
+static bool is_overdue(const struct http_client_call *call)
+{
+	return uv_timer_get_due_in(&call->timer) == 0;
+}
+
 static void on_connect(uv_connect_t *req, int status)
 {
 	struct conn *c = req->data;
@@ -640,6 +649,10 @@
 		fail_conn(c, HTTP_CLIENT_NOT_SENT);
 		return;
 	}
+	if (is_overdue(c->call)) {
+		fail_conn(c, HTTP_CLIENT_NOT_SENT);
+		return;
+	}
 	c->connected = true;
 	uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
 	send_request(c);
--- a/t/unit/http_test.cc
+++ b/t/unit/http_test.cc
@@ -88,7 +88,7 @@
 	{
 		static_cast<TestClient *>(u)->outcome = result;
 	}
-	void start(const char *request_id)
+	void start(const char *request_id, uint32_t total_ms = 0)
 	{
 		static const http_client_callbacks callbacks = {
 			on_head, on_data, on_done};
@@ -100,6 +100,7 @@
 		r.method = "GET";
 		r.path = "/";
 		r.connect_ms = r.progress_ms = 2000;
+		r.total_ms = total_ms;
 		r.correlation_header = "id";
 		r.correlation_value = request_id;
 		http_client_start(http, &r, &callbacks, this);
@@ -367,4 +368,26 @@
 	EXPECT_EQ(c.wait_for_outcome(), HTTP_CLIENT_COMPLETE);
 }
 
+void sleep_once(uv_prepare_t *prepare)
+{
+	usleep(300000);
+	uv_prepare_stop(prepare);
+}
+
+// A process that is paused while it connects finds the connection made before it
+// finds that the call's time is over.
+TEST(Client, RequestIsNotSentAfterPauseBeyondDeadline)
+{
+	TestClient c;
+	uv_prepare_t pause;
+	uv_prepare_init(&c.loop, &pause);
+	uv_prepare_start(&pause, sleep_once);
+	c.start("a", 200);
+	EXPECT_EQ(c.wait_for_outcome(), HTTP_CLIENT_NOT_SENT);
+	EXPECT_TRUE(c.server.is_readable(c.server.listen_fd));
+	c.server.conn_fd = accept(c.server.listen_fd, nullptr, nullptr);
+	char byte;
+	EXPECT_EQ(read(c.server.conn_fd, &byte, 1), 0);
+}
+
 } // namespace
