rollout: do not take a few milliseconds more for a slow version

Cause: an answer is slow at three times the usual time, and the stand-ins usually answer in 0.7 ms: 2.5 ms were slow, less than the loop's clock can tell on a busy processor.

An answer counts as slow only if it takes 5 ms more than usual besides. Shift.FewMillisecondsAreNotSlow failed before. Servers that take 17 ms (both small sites) have a limit of 51 ms as before.

--- a/rollout/shift.c
+++ b/rollout/shift.c
@@ -34,6 +34,7 @@
 #define SLOW_EVENT_INTERVAL_FACTOR 2.0 /* of the expected interval */
 #define SLOW_FIRST_EVENT_FACTOR 6.0 /* of the usual time to the first event */
 #define SLOW_PLAIN_ANSWER_FACTOR 3.0 /* the same for answers without events */
+#define MIN_SLOW_EXCESS_MS 5.0 /* beyond the usual time, to be slow at all */
 
 static const char *const state_names[] = {"trial", "rolled-back", "completed"};
 
@@ -180,9 +181,10 @@
 /* Returns after which time a first event, or a plain answer, is slow. */
 static double slow_first_ms(const struct shift_baseline *b)
 {
-	return (b->n_events ? SLOW_FIRST_EVENT_FACTOR
-			    : SLOW_PLAIN_ANSWER_FACTOR) *
-	       b->first_ms;
+	double factor = b->n_events ? SLOW_FIRST_EVENT_FACTOR
+				    : SLOW_PLAIN_ANSWER_FACTOR;
+
+	return MAX(factor * b->first_ms, b->first_ms + MIN_SLOW_EXCESS_MS);
 }
 
 static bool is_slow(const struct shift_baseline *b,
--- a/t/unit/shift_test.cc
+++ b/t/unit/shift_test.cc
@@ -328,6 +328,24 @@
 	shift_free(s);
 }
 
+// Answers within a millisecond are several times slower by a busy processor alone.
+TEST(Shift, FewMillisecondsAreNotSlow)
+{
+	traffic_shift *s = shift_new("desk", "v2", 30000, 2000, 0);
+	shift_latency l = {};
+	for (int i = 0; i < 50; i++) {
+		l.first_ms = 0.7;
+		shift_on_latency(s, SHIFT_OLD, &l);
+	}
+	l.first_ms = 4.5;
+	EXPECT_FALSE(shift_on_latency(s, SHIFT_NEW, &l));
+	EXPECT_FALSE(shift_is_overdue(s, 0, 0, 4.5));
+	l.first_ms = 12;
+	EXPECT_TRUE(shift_on_latency(s, SHIFT_NEW, &l));
+	EXPECT_TRUE(shift_is_overdue(s, 0, 0, 12));
+	shift_free(s);
+}
+
 // A server that the trial fills is slower by its load: its latency must not
 // revert the shift, but its errors must.
 TEST(Shift, FilledServersCountErrorsOnly)
