--- a/t/helper/backend.c
+++ b/t/helper/backend.c
@@ -18,7 +18,7 @@
  *   spoilt        not HTTP
  *   encoded       a content encoding that was not requested
  *   unsealed      no server seal
- *   slow          responds after SLOW_RESPONSE_MS
+ *   slow          responds after SLOW_RESPONSE_MS, or what GET /slow/MS has set
  *   endless-head      header fields without end
  *   endless-interim   interim responses without end
  *   endless-junk      bytes without end that are not HTTP
@@ -123,6 +123,7 @@
 static uv_timer_t crash_timer; /* until the crash, then until it is over */
 static bool down; /* crashed and not back */
 static unsigned int disconnect_count;
+static unsigned int slow_response_ms = SLOW_RESPONSE_MS;
 static unsigned int fail_above; /* running requests; 0: no limit */
 static unsigned int overload_count;
 static unsigned int room; /* for running requests while brittle; 0: no limit */
@@ -549,7 +550,7 @@
 			   "%s\r\n" SEAL_FIELD "\r\nunframed body",
 			   c->id);
 	else if (!strcmp(m, "slow"))
-		uv_timer_start(&c->timer, on_timer, SLOW_RESPONSE_MS, 0);
+		uv_timer_start(&c->timer, on_timer, slow_response_ms, 0);
 	else if (g_str_has_prefix(m, "stream"))
 		start_stream(c, last_event);
 	else {
@@ -671,6 +672,11 @@
 		write_response(c, 200, "-", "", "");
 		return;
 	}
+	if (g_str_has_prefix(line[1], "/slow/")) {
+		slow_response_ms = (unsigned int)atoi(name + 1);
+		write_response(c, 200, "-", "", "");
+		return;
+	}
 	if (!strcmp(line[1], "/failed")) {
 		snprintf(text, sizeof(text), "%u\n", overload_count);
 		write_response(c, 200, "-", "", text);
--- a/t/t0034-doubled-watch.sh
+++ b/t/t0034-doubled-watch.sh
@@ -3,7 +3,7 @@
 # watch: changes before its revision would never be asked for.
 set -u
 cd "$(dirname "$0")/.." || exit 1
-BASE=${BASE:-10900}
+BASE=${BASE:-9850}
 . t/lib.sh
 . t/lib-routes.sh
 
--- a/t/t0035-doubled-claim.sh
+++ b/t/t0035-doubled-claim.sh
@@ -3,7 +3,7 @@
 # another order, which would run twice.
 set -u
 cd "$(dirname "$0")/.." || exit 1
-BASE=${BASE:-12600}
+BASE=${BASE:-6450}
 . t/lib.sh
 
 ROUNDS=6
