--- a/t/unit/shift_test.cc
+++ b/t/unit/shift_test.cc
@@ -490,6 +490,38 @@
 	EXPECT_GT(fleet_wire_encode_limits(&m, kKey, buf, sizeof(buf)), 0u);
 }
 
+// A later build may append fields: this one must read what it knows.
+TEST(FleetCodec, AppendedFieldsAreIgnored)
+{
+	const size_t kAppended = 12;
+	uint8_t buf[PEER_WIRE_MAX_BYTES];
+	fleet_wire_plan p = {}, p2;
+	strcpy(p.service, "s");
+	p.plan.share = 5;
+	size_t n = fleet_wire_encode_plan(&p, kKey, buf, sizeof(buf)) -
+		   PEER_WIRE_MAC_BYTES;
+	memset(buf + n, 7, kAppended);
+	peer_wire_sign(buf, n + kAppended, kKey);
+	ASSERT_EQ(fleet_wire_decode_plan(
+			  buf, n + kAppended + PEER_WIRE_MAC_BYTES, kKey, &p2),
+		  PEER_WIRE_OK);
+	EXPECT_EQ(p2.plan.share, 5u);
+}
+
+// A message of a later build: no procedure of this one.
+TEST(FleetCodec, UnknownProcedureIsRejected)
+{
+	const uint32_t kUnknown = 99;
+	uint8_t buf[PEER_WIRE_MAX_BYTES];
+	unsigned int body = 1;
+	member_msg msg = {};
+	size_t n = peer_wire_encode_call(0, kUnknown, (xdrproc_t)xdr_u_int,
+					 &body, kKey, buf, sizeof(buf));
+	ASSERT_GT(n, 0u);
+	EXPECT_EQ(fleet_wire_kind_of(buf, n), FLEET_WIRE_MEMBERSHIP);
+	EXPECT_EQ(peer_wire_decode(buf, n, kKey, &msg), PEER_WIRE_BAD_HEADER);
+}
+
 RC_GTEST_PROP(FleetCodec, DamagedMessagesAreRejected, ())
 {
 	uint8_t buf[PEER_WIRE_MAX_BYTES];
