http: serve requests that arrive as a planned stop begins

Cause: at the start of a stop all connections without a request are closed, also those that were just accepted and those whose request lies in the socket unread.

Two tests of unit-http_server_test failed before; idle connections that have been served close at once, as before.

--- a/http/server.c
+++ b/http/server.c
@@ -706,9 +706,17 @@
 	uv_close((uv_handle_t *)&http_server->listener, NULL);
 }
 
+/* Returns whether the first request of the connection may be on its way. */
+static bool awaits_first_request(const struct conn *c)
+{
+	return !c->served &&
+	       uv_now(c->http_server->loop) - c->accepted_at < FIRST_REQUEST_MS;
+}
+
 /*
- * Closes idle connections now and the others after their current response. New
- * connections are still accepted and serve one request each.
+ * Closes idle connections now and the others after their current response; those
+ * that were accepted lately, or on which something has arrived, get time for a
+ * request. New connections are still accepted and serve one request each.
  */
 void http_server_close_idle(struct http_server *http_server)
 {
@@ -718,7 +726,11 @@
 	for (GList *l = conns; l; l = l->next) {
 		struct conn *c = l->data;
 
-		if (c->phase == PHASE_HEAD && !c->input->len)
+		if (c->phase != PHASE_HEAD || c->input->len)
+			continue;
+		if (awaits_first_request(c) || socket_has_input(&c->tcp))
+			arm_timer(c, FIRST_REQUEST_MS);
+		else
 			close_conn(c);
 	}
 }
@@ -745,12 +757,9 @@
 	while (g_hash_table_iter_next(&it, &conn, NULL)) {
 		const struct conn *c = conn;
 
-		bool fresh = !c->served &&
-			     uv_now(http_server->loop) - c->accepted_at <
-				     FIRST_REQUEST_MS;
-
 		n += c->phase != PHASE_CLOSED && c->phase != PHASE_LINGER &&
-		     (c->req || c->input->len || c->writing || fresh);
+		     (c->req || c->input->len || c->writing ||
+		      awaits_first_request(c));
 	}
 	return n;
 }
--- a/t/unit/http_server_test.cc
+++ b/t/unit/http_server_test.cc
@@ -146,4 +146,44 @@
 	EXPECT_EQ(s.requests[0], nullptr);
 }
 
+// A request that lies in the socket when a planned stop begins must be answered.
+TEST(CloseIdle, ServesRequestThatIsNotReadYet)
+{
+	TestServer s;
+	TestClient c;
+	s.run_ms(10);
+	c.send_bytes(kRequest);
+	usleep(20000);
+	http_server_close_idle(s.server);
+	s.run_ms(50);
+	EXPECT_EQ(s.requests.size(), 1u);
+}
+
+TEST(CloseIdle, ServesFirstRequestOfNewConnection)
+{
+	TestServer s;
+	TestClient c;
+	s.run_ms(10);
+	http_server_close_idle(s.server);
+	s.run_ms(50);
+	c.send_bytes(kRequest);
+	s.run_ms(50);
+	EXPECT_EQ(s.requests.size(), 1u);
+}
+
+TEST(CloseIdle, ClosesConnectionsThatHaveBeenServed)
+{
+	TestServer s;
+	TestClient c;
+	char bytes[4096];
+	c.send_bytes(kRequest);
+	s.wait_for_requests(1);
+	http_server_reply(s.requests[0], 200, nullptr, "", 0);
+	s.run_ms(50);
+	ASSERT_GT(read(c.fd, bytes, sizeof(bytes)), 0);
+	http_server_close_idle(s.server);
+	s.run_ms(50);
+	EXPECT_EQ(recv(c.fd, bytes, sizeof(bytes), MSG_DONTWAIT), 0);
+}
+
 } // namespace
