t: tell apart what the earlier build cuts off in t0036

Such a node cannot be mended by this build, so the check now goes by the build that ran at the node when the request was sent, and stays as it was for this build; the earlier one's are printed.

--- a/t/t0036-upgrade.sh
+++ b/t/t0036-upgrade.sh
@@ -71,6 +71,7 @@
 	done
 }
 start_build() { # BUILD NODE
+	echo "$(now_ms) $2 $([ "$1" = "$OLD" ] && echo old || echo new)" >>"$WORK/builds"
 	BUILD=$1 NODE_STORE=127.0.0.$(($2 + 1)):${STORE#*:} start_route_node "$2"
 }
 # replace BUILD NODE...: stops the nodes as planned and starts them with the build.
@@ -233,14 +234,22 @@
 sleep 1
 for b in $BACKENDS $GOOD_BACKENDS $BAD_BACKEND; do curl -fs -m 5 "http://$(backend_address "$b")/ran"; done >"$WORK/ran"
 for n in $NODES; do sed "s/\$/ $n/" "$WORK/client$n.log"; done >"$WORK/asked"
-# 52 and 56: the connection ended without an answer, which only a kill excuses.
-awk -v killed="$KILLED" 'FILENAME ~ /ran$/ {ran[$1]++; next}
-	($5 == 52 || $5 == 56) && index(killed, " " $6 " ") == 0 {print "cut off without an answer:", $0}
+# 52 and 56: the connection ended without an answer, which only a kill excuses. What the
+# earlier build cuts off in its stops cannot be mended here; it is counted.
+awk -v killed="$KILLED" -v old="$WORK/cut-by-old" 'FILENAME ~ /ran$/ {ran[$1]++; next}
+	FILENAME ~ /builds$/ {n[$2]++; since[$2, n[$2]] = $1; build[$2, n[$2]] = $3; next}
+	($5 == 52 || $5 == 56) && index(killed, " " $6 " ") == 0 {
+		b = ""
+		for (i = 1; i <= n[$6]; i++) if (since[$6, i] <= $1) b = build[$6, i]
+		if (b == "old") print >old
+		else print "cut off without an answer:", $0
+	}
 	$4 == "broken" {print "a stream with other events:", $0}
 	$2 != "order" {next}
 	ran[$3] > 1 {print "ran twice:", $0}
 	$4 == 200 && !ran[$3] {print "answered, but did not run:", $0}
-	($4 == 503 || $4 == 429) && ran[$3] {print "reported as not run, but ran:", $0}' "$WORK/ran" "$WORK/asked" >"$WORK/violations"
+	($4 == 503 || $4 == 429) && ran[$3] {print "reported as not run, but ran:", $0}' "$WORK/ran" "$WORK/builds" "$WORK/asked" >"$WORK/violations"
+[ ! -s "$WORK/cut-by-old" ] || say "cut off by the earlier build as it stopped: $(wc -l <"$WORK/cut-by-old")"
 say "statuses: $(awk '{print $4}' "$WORK/asked" | sort | uniq -c | sort -rn | tr '\n' ' ')"
 [ ! -s "$WORK/violations" ] || fail "$(wc -l <"$WORK/violations") violations, $(head -n 5 "$WORK/violations")"
 for log in "$WORK"/route*.log; do
