exchange: log refusals of brittle servers and what was known of them

E701 names refused attempts, but not whether the node knew that the server is brittle. E722 says so, with the node's share, its requests there and the nodes it divided by; brittle_refusals_total counts them.

--- a/counters.h
+++ b/counters.h
@@ -31,6 +31,8 @@
 	  "recorded results replayed")                                         \
 	X(CLIENTS_LEFT, "clients_left_total",                                  \
 	  "requests not sent because their client had left")                   \
+	X(BRITTLE_REFUSALS, "brittle_refusals_total",                          \
+	  "requests that a brittle server had no room for")                    \
 	X(STORE_CALLS, "store_calls_total", "calls to the object API")         \
 	X(STORE_FAILURES, "store_failures_total",                              \
 	  "calls to the object API that failed")                               \
--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -410,6 +410,19 @@
 		probe_task_on_doubt(x->g->probes, x->server, now);
 }
 
+/* Logs that a brittle server had no room, and what was known before. */
+static void record_brittle_refusal(const struct exchange_request *x)
+{
+	const struct brittle *b = &x->server->brittle;
+
+	counter_add(&x->g->counter_set, COUNTER_BRITTLE_REFUSALS, 1);
+	log_event(LOG_EVENT_BRITTLE_REFUSED,
+		  "request=%s server=%s known=%d share=%u in_flight=%u "
+		  "nodes=%u born=%" G_GUINT64_FORMAT,
+		  x->id, x->server->id, x->brittle_at_start, b->max_in_flight,
+		  x->server->in_flight, b->nodes, x->server->born);
+}
+
 /* Updates what is known of the server by the attempt that has ended. */
 static void record_call_end(struct exchange_request *x,
 			    enum http_client_outcome end)
@@ -426,6 +439,9 @@
 	record_crash_outcome(x, end);
 	if (x->answer.result == RETRY_RESULT_COMPLETE)
 		record_load_outcome(x);
+	if (outcome == SERVER_CALL_REFUSED &&
+	    brittle_is_in_force(&x->server->brittle, gateway_now(x->g)))
+		record_brittle_refusal(x);
 	if (x->answer.result == RETRY_RESULT_COMPLETE &&
 	    x->attempt_events >= MIN_SERVER_SAMPLE_EVENTS)
 		server_on_event_interval(&x->g->servers, x->server, &x->work,
@@ -997,6 +1013,7 @@
 	server_on_request_start(x->server, now);
 	server_add_work(x->server, &x->work);
 	x->load_at_start = server_load(x->server, now);
+	x->brittle_at_start = brittle_is_in_force(&x->server->brittle, now);
 	x->server_version = g_intern_string(x->server->version);
 	shift = shift_task_find(x->g->shifts, x->service);
 	if (shift && x->rollout_active)
--- a/exchange/exchange.h
+++ b/exchange/exchange.h
@@ -57,6 +57,7 @@
 	bool latency_counted; /* for the roll-out */
 	bool fills; /* the roll-out is filling the server up to its slots */
 	double load_at_start; /* of the server when the attempt started */
+	bool brittle_at_start; /* the server, as far as was known then */
 	uint64_t attempt_events;
 	uint64_t first_event_at;
 	uint64_t last_event_at;
--- a/log-event.h
+++ b/log-event.h
@@ -59,6 +59,7 @@
 	X(REQUEST_BLOCKED, 716, WARNING, "request crashes servers")            \
 	X(SERVER_REACH, 717, MESSAGE, "reach of a server changed")             \
 	X(SERVER_BRITTLE, 720, MESSAGE, "server says that it is brittle")      \
+	X(BRITTLE_REFUSED, 722, WARNING, "brittle server had no room")         \
 	X(CLIENT_LEFT, 721, MESSAGE, "client left before an attempt began")    \
 	X(RELAYED, 718, MESSAGE, "request passed on to a node")                \
 	X(RELAY_ACCEPTED, 719, MESSAGE, "request from another node")           \
