exchange: keep what is known of brittle servers until an answer ends it

Clients saw the servers of a service fall over again and again (LIMIT). A server that says that it is brittle crashes if it has to refuse more than a few requests a second; its slots are divided between the nodes. Each node forgot that at another start of the server, with the record once its entry had been removed, and after 10 s without an answer. Nodes without a share of the slots hear little or nothing, so most of a fleet forgot, at the same moment, and found the restarted server the least loaded one.

Now the latest word of a service's servers is kept by service, holds for those that have not answered since their start, and ends by an answer alone. A server that starts while its service is brittle gets nothing from a node before its rank is known. The rule itself is unchanged.

--- a/exchange/brittle.c
+++ b/exchange/brittle.c
@@ -2,9 +2,9 @@
 
 #include <glib.h>
 
-/* A server that has not answered for so long may have ceased to be brittle. */
-#define MEMORY_MS 10000
 #define MIN_REFUSALS_PER_S 0.2 /* bounds the wait after a refusal */
+/* For so long a server's own answer counts more than those of the others. */
+#define OWN_ANSWER_MS 2000
 
 /*
  * Returns the number that a header field names, or 0 if it is absent or malformed.
@@ -21,18 +21,60 @@
 	return *end || !(n < 1e9) ? 0 : MAX(n, MIN_REFUSALS_PER_S);
 }
 
-/* Takes up what an answer said, 0 if nothing. Returns true if it has changed. */
-bool brittle_hear(struct brittle *b, uint64_t now, double refusals_per_s)
+/* Until its rank is known, a node sends one request at a time. */
+static void take_up(struct brittle *b, const struct brittle_notice *said)
 {
-	bool changed = refusals_per_s != b->refusals_per_s;
-
-	if (!b->refusals_per_s)
+	if (!b->notice.refusals_per_s) {
 		b->ranked = false;
-	b->refusals_per_s = refusals_per_s;
-	b->heard_at = now;
+		b->max_in_flight = 1;
+		b->wait_until = 0;
+	}
+	b->notice = *said;
+}
+
+/*
+ * Takes up what an answer of the server said, unless a later one is known. Returns
+ * true if that changes how many refusals a second it is known to bear.
+ */
+bool brittle_hear(struct brittle *b, const struct brittle_notice *said)
+{
+	bool changed = said->refusals_per_s != b->notice.refusals_per_s;
+
+	if (said->answered_at < b->notice.answered_at)
+		return false;
+	take_up(b, said);
+	b->own = true;
 	return changed;
 }
 
+/* Takes up that another server of the service has said to be brittle. */
+void brittle_inherit(struct brittle *b, const struct brittle_notice *said)
+{
+	uint64_t from = b->notice.answered_at + (b->own ? OWN_ANSWER_MS : 0);
+
+	if (!said->refusals_per_s || said->answered_at < from)
+		return;
+	take_up(b, said);
+	b->own = false;
+}
+
+/*
+ * Handles a start of the server: it has not answered yet, so what is known of its
+ * service holds. If that is brittle the node must not send before its rank is known,
+ * since all nodes see the start at the same time.
+ */
+void brittle_on_start(struct brittle *b, const struct brittle_notice *service)
+{
+	bool ranked = b->ranked && b->notice.refusals_per_s;
+
+	b->notice = *service;
+	b->own = false;
+	b->wait_until = 0;
+	b->ranked = ranked;
+	if (!ranked)
+		b->max_in_flight = 0;
+}
+
 /*
  * Sets this node's part of the server's slots by its rank, from 0, among the live
  * nodes. Of nodes that are more than the slots, those of the first ranks get one;
@@ -54,25 +96,24 @@
 /* Handles a refusal for want of room. */
 void brittle_on_refusal(struct brittle *b, uint64_t now)
 {
-	if (b->refusals_per_s)
+	if (brittle_is_in_force(b))
 		b->wait_until = now + (uint64_t)(1000 * MAX(b->nodes, 1) /
-						 b->refusals_per_s);
+						 b->notice.refusals_per_s);
 }
 
 /* Returns whether the server is brittle, as far as is known. */
-bool brittle_is_in_force(const struct brittle *b, uint64_t now)
+bool brittle_is_in_force(const struct brittle *b)
 {
-	return b->refusals_per_s > 0 && now - b->heard_at < MEMORY_MS;
+	return b->notice.refusals_per_s > 0;
 }
 
 /*
  * Returns whether this node, with so many requests in flight there, may send the
- * server another one. Until its rank is known that is one at a time.
+ * server another one.
  */
 bool brittle_allows(const struct brittle *b, uint64_t now, uint32_t in_flight)
 {
-	if (!brittle_is_in_force(b, now))
+	if (!brittle_is_in_force(b))
 		return true;
-	return now >= b->wait_until &&
-	       in_flight < (b->ranked ? b->max_in_flight : 1);
+	return now >= b->wait_until && in_flight < b->max_in_flight;
 }
--- a/exchange/brittle.h
+++ b/exchange/brittle.h
@@ -8,24 +8,34 @@
  * What a brittle server bears: it crashes if it has to refuse more than a few
  * requests a second for want of room. Its slots are divided between as many nodes,
  * chosen by rank, so that it never has to; a node that is refused all the same
- * leaves it alone until all nodes together cannot exceed the number. Times are
- * milliseconds of the node's own clock.
+ * leaves it alone until all nodes together cannot exceed the number. All servers of
+ * a service are brittle at the same time, so what one says is inherited by those that
+ * have not answered themselves. Only an answer ends it, not silence or a restart.
+ * Times are milliseconds of the node's own clock.
  */
-struct brittle {
+struct brittle_notice {
 	double refusals_per_s; /* that the server bears; 0: not brittle */
-	uint64_t heard_at; /* of the latest answer that said so */
-	bool ranked; /* the next two are set */
+	uint64_t
+		answered_at; /* of the latest answer taken into account; 0: none */
+};
+
+struct brittle {
+	struct brittle_notice notice;
+	bool own; /* the answer was the server's, since its latest start */
+	bool ranked; /* the next two are set by rank */
 	uint32_t max_in_flight; /* of this node; 0: it must not send */
-	uint32_t nodes; /* alive */
+	uint32_t nodes; /* that divide the slots */
 	uint64_t wait_until; /* after a refusal */
 };
 
 double brittle_parse(const char *text);
-bool brittle_hear(struct brittle *b, uint64_t now, double refusals_per_s);
+bool brittle_hear(struct brittle *b, const struct brittle_notice *said);
+void brittle_inherit(struct brittle *b, const struct brittle_notice *said);
+void brittle_on_start(struct brittle *b, const struct brittle_notice *service);
 void brittle_set_rank(struct brittle *b, uint32_t rank, uint32_t nodes,
 		      uint32_t slots);
 void brittle_on_refusal(struct brittle *b, uint64_t now);
-bool brittle_is_in_force(const struct brittle *b, uint64_t now);
+bool brittle_is_in_force(const struct brittle *b);
 bool brittle_allows(const struct brittle *b, uint64_t now, uint32_t in_flight);
 
 #endif
--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -440,7 +440,7 @@
 	if (x->answer.result == RETRY_RESULT_COMPLETE)
 		record_load_outcome(x);
 	if (outcome == SERVER_CALL_REFUSED &&
-	    brittle_is_in_force(&x->server->brittle, gateway_now(x->g)))
+	    brittle_is_in_force(&x->server->brittle))
 		record_brittle_refusal(x);
 	if (x->answer.result == RETRY_RESULT_COMPLETE &&
 	    x->attempt_events >= MIN_SERVER_SAMPLE_EVENTS)
@@ -601,13 +601,15 @@
 /* Takes up how many refusals a second a server says that it bears. */
 static void read_brittle(struct exchange_request *x, const char *value)
 {
-	double n = brittle_parse(value);
+	const struct brittle_notice said = {
+		.refusals_per_s = brittle_parse(value),
+		.answered_at = gateway_now(x->g),
+	};
 
-	if (server_hear_brittle(&x->g->servers, x->server, gateway_now(x->g),
-				n))
+	if (server_hear_brittle(&x->g->servers, x->server, &said))
 		log_event(LOG_EVENT_SERVER_BRITTLE,
 			  "server=%s refusals_per_s=%.1f request=%s",
-			  x->server->id, n, x->id);
+			  x->server->id, said.refusals_per_s, x->id);
 }
 
 /* Takes up a time, in seconds, for which a refusing server wants no request. */
@@ -901,22 +903,6 @@
 		       : "crashing-part";
 }
 
-/* Returns whether the service's servers are brittle, so that few nodes send. */
-static bool is_brittle(const struct exchange_request *x, uint64_t now)
-{
-	const GPtrArray *all = x->g->servers.all;
-
-	for (guint i = 0; i < all->len; i++) {
-		const struct server_record *s = all->pdata[i];
-
-		if (s->state == SERVER_READY &&
-		    !strcmp(s->service, x->service) &&
-		    brittle_is_in_force(&s->brittle, now))
-			return true;
-	}
-	return false;
-}
-
 /*
  * Sets the attempt's server, or the helper in its place: while half of the
  * service's servers or more are out of reach here, other nodes get the share of
@@ -941,7 +927,9 @@
 		return true;
 	x->server = exchange_pick_server(x, now);
 	return x->server ||
-	       ((impaired || (!x->relayed && is_brittle(x, now))) &&
+	       ((impaired ||
+		 (!x->relayed &&
+		  server_service_is_brittle(&x->g->servers, x->service))) &&
 		exchange_choose_helper(x, now));
 }
 
@@ -1013,7 +1001,7 @@
 	server_on_request_start(x->server, now);
 	server_add_work(x->server, &x->work);
 	x->load_at_start = server_load(x->server, now);
-	x->brittle_at_start = brittle_is_in_force(&x->server->brittle, now);
+	x->brittle_at_start = brittle_is_in_force(&x->server->brittle);
 	x->server_version = g_intern_string(x->server->version);
 	shift = shift_task_find(x->g->shifts, x->service);
 	if (shift && x->rollout_active)
--- a/exchange/servers.c
+++ b/exchange/servers.c
@@ -55,6 +55,8 @@
 	t->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	t->load_limits =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	t->brittle_services =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	t->all = g_ptr_array_new_with_free_func(free_server);
 	removal_log_init(&t->removals);
 }
@@ -64,6 +66,7 @@
 {
 	g_hash_table_unref(t->by_id);
 	g_hash_table_unref(t->load_limits);
+	g_hash_table_unref(t->brittle_services);
 	g_ptr_array_unref(t->all);
 	removal_log_clear(&t->removals);
 }
@@ -136,14 +139,26 @@
 	return s->state != SERVER_REMOVED || was_restored(s, entry);
 }
 
+/* Returns the latest that servers of a service have said of being brittle. */
+static struct brittle_notice brittle_notice_of(const struct server_table *t,
+					       const char *service)
+{
+	const struct brittle_notice *n =
+		g_hash_table_lookup(t->brittle_services, service);
+	const struct brittle_notice none = {.answered_at = 0};
+
+	return n ? *n : none;
+}
+
 /* Resets what the server said of itself before its restart. */
-static void reset_boot(struct server_record *s)
+static void reset_boot(struct server_record *s,
+		       const struct brittle_notice *service)
 {
 	s->draining = false;
 	s->said_leaving = false;
 	s->paused_until = 0;
 	memset(&s->limit, 0, sizeof(s->limit));
-	memset(&s->brittle, 0, sizeof(s->brittle));
+	brittle_on_start(&s->brittle, service);
 }
 
 /*
@@ -195,6 +210,7 @@
 				    const struct server_entry *entry)
 {
 	struct server_record *s = server_find(t, entry->id);
+	struct brittle_notice brittle = brittle_notice_of(t, entry->service);
 
 	if (s && entry->revision < s->revision)
 		return s;
@@ -203,8 +219,9 @@
 	else if (s->state != SERVER_READY ||
 		 g_strcmp0(s->address, entry->address) != 0)
 		reset_statistics(s);
-	if (!is_same_boot(s, entry))
-		reset_boot(s);
+	if (!is_same_boot(s, entry) ||
+	    g_strcmp0(s->service, entry->service) != 0)
+		reset_boot(s, &brittle);
 	set_text(&s->service, entry->service);
 	set_text(&s->address, entry->address);
 	set_text(&s->zone, entry->zone);
@@ -393,22 +410,55 @@
 	return any_lost;
 }
 
+/* Returns the service's notice, which is added if it has none. */
+static struct brittle_notice *service_notice(struct server_table *t,
+					     const char *service)
+{
+	struct brittle_notice *n =
+		g_hash_table_lookup(t->brittle_services, service);
+
+	if (!n) {
+		n = g_new0(struct brittle_notice, 1);
+		g_hash_table_insert(t->brittle_services, g_strdup(service), n);
+	}
+	return n;
+}
+
 /*
- * Takes up how many refusals a second an answer says that the server bears, 0 if
- * nothing. All servers of a service are brittle at the same time, so it holds for
- * those that have not answered yet. Returns true if it has changed.
+ * Takes up what an answer of the server says of being brittle, for all of its
+ * service. Returns true if that has changed for the server.
  */
 bool server_hear_brittle(struct server_table *t, struct server_record *s,
-			 uint64_t now, double refusals_per_s)
+			 const struct brittle_notice *said)
 {
-	for (guint i = 0; refusals_per_s && i < t->all->len; i++) {
+	struct brittle_notice *service;
+
+	if (!said->refusals_per_s && !s->brittle.notice.answered_at)
+		return false;
+	service = service_notice(t, s->service);
+	if (said->answered_at >= service->answered_at)
+		*service = *said;
+	for (guint i = 0; said->refusals_per_s && i < t->all->len; i++) {
 		struct server_record *other = t->all->pdata[i];
 
-		if (!brittle_is_in_force(&other->brittle, now) && other != s &&
-		    !strcmp(other->service, s->service))
-			brittle_hear(&other->brittle, now, refusals_per_s);
+		if (other != s && !strcmp(other->service, s->service))
+			brittle_inherit(&other->brittle, said);
+	}
+	return brittle_hear(&s->brittle, said);
+}
+
+/* Returns whether a ready server of the service is brittle. */
+bool server_service_is_brittle(const struct server_table *t,
+			       const char *service)
+{
+	for (guint i = 0; i < t->all->len; i++) {
+		const struct server_record *s = t->all->pdata[i];
+
+		if (s->state == SERVER_READY && !strcmp(s->service, service) &&
+		    brittle_is_in_force(&s->brittle))
+			return true;
 	}
-	return brittle_hear(&s->brittle, now, refusals_per_s);
+	return false;
 }
 
 /*
--- a/exchange/servers.h
+++ b/exchange/servers.h
@@ -94,6 +94,11 @@
 struct server_table {
 	GHashTable *by_id; /* id -> struct server_record */
 	GHashTable *load_limits; /* "service/version" -> struct load_limit */
+	/*
+	 * Service -> struct brittle_notice, the latest of its servers. Kept while
+	 * none of them is listed.
+	 */
+	GHashTable *brittle_services;
 	GPtrArray *all;
 	struct removal_log removals;
 	double mean_head_ms; /* mean time to the head of plain answers */
@@ -140,7 +145,9 @@
 					 uint64_t now, const char *service);
 bool server_reach_is_impaired(const struct server_reach *r);
 bool server_hear_brittle(struct server_table *t, struct server_record *s,
-			 uint64_t now, double refusals_per_s);
+			 const struct brittle_notice *said);
+bool server_service_is_brittle(const struct server_table *t,
+			       const char *service);
 bool server_on_said_leaving(struct server_record *s);
 void server_free_removed(struct server_table *t, uint64_t now);
 uint64_t server_table_digest(const struct server_table *t);
--- a/fleet/fleet-task.c
+++ b/fleet/fleet-task.c
@@ -438,7 +438,7 @@
 	for (guint i = 0; i < servers->len; i++) {
 		struct server_record *s = servers->pdata[i];
 
-		if (brittle_is_in_force(&s->brittle, now) &&
+		if (brittle_is_in_force(&s->brittle) &&
 		    (!s->brittle.ranked || now >= t->next_brittle_at))
 			brittle_set_rank(&s->brittle, fleet_task_rank(t, s->id),
 					 nodes, s->slots);
