fleet: tell all nodes that servers are brittle

A node learnt that a server is brittle from its own calls alone, so nodes without a share of its slots, and nodes that had just joined, went by old knowledge or none. With the notice now held until an answer ends it, they would also refuse requests after its end.

--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -606,10 +606,13 @@
 		.answered_at = gateway_now(x->g),
 	};
 
-	if (server_hear_brittle(&x->g->servers, x->server, &said))
-		log_event(LOG_EVENT_SERVER_BRITTLE,
-			  "server=%s refusals_per_s=%.1f request=%s",
-			  x->server->id, said.refusals_per_s, x->id);
+	if (!server_hear_brittle(&x->g->servers, x->server, &said))
+		return;
+	x->server->brittle.news = true;
+	log_event(LOG_EVENT_SERVER_BRITTLE,
+		  "service=%s server=%s refusals_per_s=%.1f request=%s",
+		  x->server->service, x->server->id, said.refusals_per_s,
+		  x->id);
 }
 
 /* Takes up a time, in seconds, for which a refusing server wants no request. */
--- /dev/null
+++ b/exchange/peer-brittle.c
@@ -0,0 +1,122 @@
+#include "exchange/peer-brittle.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* For so long nodes repeat that a server is not brittle any more. */
+#define END_REPEAT_MS 30000
+
+static uint64_t hash_name(const char *name)
+{
+	return XXH3_64bits(name, strlen(name));
+}
+
+static void begin_message(struct fleet_wire_brittle *m, const char *node)
+{
+	memset(m, 0, sizeof(*m));
+	g_strlcpy(m->node, node, sizeof(m->node));
+}
+
+static void add_notice(struct fleet_wire_brittle *m, uint64_t now,
+		       const char *service, uint64_t server,
+		       const struct brittle_notice *n)
+{
+	struct fleet_wire_brittle_notice *to;
+
+	if (m->n == FLEET_WIRE_MAX_BRITTLE)
+		return;
+	to = &m->notice[m->n++];
+	to->service = hash_name(service);
+	to->server = server;
+	to->refusals_per_s = n->refusals_per_s;
+	to->age_ms = (uint32_t)MIN(now - n->answered_at, UINT32_MAX);
+}
+
+/*
+ * Fills in what this node has heard from servers themselves and not told the
+ * others yet. Returns false if that is nothing.
+ */
+bool peer_brittle_take_news(struct server_table *servers, uint64_t now,
+			    const char *node, struct fleet_wire_brittle *out)
+{
+	begin_message(out, node);
+	for (guint i = 0; i < servers->all->len; i++) {
+		struct server_record *s = servers->all->pdata[i];
+
+		if (!s->brittle.news || out->n == FLEET_WIRE_MAX_BRITTLE)
+			continue;
+		s->brittle.news = false;
+		add_notice(out, now, s->service, s->hash, &s->brittle.notice);
+	}
+	return out->n > 0;
+}
+
+static bool is_worth_telling(const struct brittle_notice *n, uint64_t now)
+{
+	return n->answered_at &&
+	       (n->refusals_per_s > 0 || now - n->answered_at < END_REPEAT_MS);
+}
+
+/*
+ * Fills in what is known of brittle services, then of servers, from `start` on, by
+ * their own answers. Returns false if that is nothing.
+ */
+bool peer_brittle_summary(const struct server_table *servers, uint64_t now,
+			  const char *node, uint32_t start,
+			  struct fleet_wire_brittle *out)
+{
+	const GPtrArray *all = servers->all;
+	GHashTableIter it;
+	void *service, *notice;
+
+	begin_message(out, node);
+	g_hash_table_iter_init(&it, servers->brittle_services);
+	while (g_hash_table_iter_next(&it, &service, &notice))
+		if (is_worth_telling(notice, now))
+			add_notice(out, now, service, 0, notice);
+	for (guint i = 0; i < all->len; i++) {
+		const struct server_record *s =
+			all->pdata[(start + i) % all->len];
+
+		if (s->brittle.own && is_worth_telling(&s->brittle.notice, now))
+			add_notice(out, now, s->service, s->hash,
+				   &s->brittle.notice);
+	}
+	return out->n > 0;
+}
+
+/* Returns the name of a service with a known server by its hash, or NULL. */
+static const char *find_service(const struct server_table *servers,
+				uint64_t hash)
+{
+	for (guint i = 0; i < servers->all->len; i++) {
+		const struct server_record *s = servers->all->pdata[i];
+
+		if (hash_name(s->service) == hash)
+			return s->service;
+	}
+	return NULL;
+}
+
+/*
+ * Takes up what another node has heard of a server or of its service. Returns true
+ * if what is known has changed, and then sets their names, that of the server to "-"
+ * if it is not known here.
+ */
+bool peer_brittle_apply(struct server_table *servers, uint64_t now,
+			const struct fleet_wire_brittle_notice *from,
+			const char **service, const char **server)
+{
+	struct server_record *s = server_find_by_hash(servers, from->server);
+	const struct brittle_notice said = {
+		.refusals_per_s = from->refusals_per_s,
+		.answered_at = now - MIN(now, from->age_ms),
+	};
+
+	*service = s ? s->service : find_service(servers, from->service);
+	*server = s ? s->id : "-";
+	if (s)
+		return server_hear_brittle(servers, s, &said);
+	return *service &&
+	       server_hear_brittle_service(servers, *service, &said);
+}
--- a/exchange/servers.c
+++ b/exchange/servers.c
@@ -424,6 +424,29 @@
 	return n;
 }
 
+/*
+ * Takes up what some server of a service says of being brittle, for those that have
+ * not answered themselves. Returns true if that has changed for the service.
+ */
+bool server_hear_brittle_service(struct server_table *t, const char *service,
+				 const struct brittle_notice *said)
+{
+	struct brittle_notice *n = service_notice(t, service);
+	bool changed = false;
+
+	if (said->answered_at >= n->answered_at) {
+		changed = said->refusals_per_s != n->refusals_per_s;
+		*n = *said;
+	}
+	for (guint i = 0; said->refusals_per_s && i < t->all->len; i++) {
+		struct server_record *s = t->all->pdata[i];
+
+		if (!strcmp(s->service, service))
+			brittle_inherit(&s->brittle, said);
+	}
+	return changed;
+}
+
 /*
  * Takes up what an answer of the server says of being brittle, for all of its
  * service. Returns true if that has changed for the server.
@@ -431,20 +454,13 @@
 bool server_hear_brittle(struct server_table *t, struct server_record *s,
 			 const struct brittle_notice *said)
 {
-	struct brittle_notice *service;
+	bool changed;
 
 	if (!said->refusals_per_s && !s->brittle.notice.answered_at)
 		return false;
-	service = service_notice(t, s->service);
-	if (said->answered_at >= service->answered_at)
-		*service = *said;
-	for (guint i = 0; said->refusals_per_s && i < t->all->len; i++) {
-		struct server_record *other = t->all->pdata[i];
-
-		if (other != s && !strcmp(other->service, s->service))
-			brittle_inherit(&other->brittle, said);
-	}
-	return brittle_hear(&s->brittle, said);
+	changed = brittle_hear(&s->brittle, said);
+	server_hear_brittle_service(t, s->service, said);
+	return changed;
 }
 
 /* Returns whether a ready server of the service is brittle. */
--- a/exchange/servers.h
+++ b/exchange/servers.h
@@ -146,6 +146,8 @@
 bool server_reach_is_impaired(const struct server_reach *r);
 bool server_hear_brittle(struct server_table *t, struct server_record *s,
 			 const struct brittle_notice *said);
+bool server_hear_brittle_service(struct server_table *t, const char *service,
+				 const struct brittle_notice *said);
 bool server_service_is_brittle(const struct server_table *t,
 			       const char *service);
 bool server_on_said_leaving(struct server_record *s);
--- a/fleet/findings-task.c
+++ b/fleet/findings-task.c
@@ -5,7 +5,9 @@
 
 #include "daemon/gateway.h"
 #include "exchange/load-limit.h"
+#include "exchange/peer-brittle.h"
 #include "fleet/fleet-task.h"
+#include "log-event.h"
 #include "wire/codec.h"
 #include "wire/fleet-codec.h"
 
@@ -18,7 +20,9 @@
 struct findings_task {
 	struct gateway_state *g;
 	struct fleet_task *fleet;
-	uint64_t next_summary_at; /* ms */
+	uint64_t next_summary_at; /* ms, as all times here */
+	uint64_t next_brittle_at; /* the next summary of brittle servers */
+	bool heard_brittle; /* a message about them from another node */
 };
 
 static size_t encode_crashes(struct findings_task *t, uint64_t now,
@@ -107,10 +111,57 @@
 	return t;
 }
 
+static size_t encode_brittle(const struct findings_task *t,
+			     const struct fleet_wire_brittle *m, uint8_t *bytes)
+{
+	return fleet_wire_encode_brittle(m, t->g->settings->cluster_key, bytes,
+					 PEER_WIRE_MAX_BYTES);
+}
+
+/* Fills in what is known of brittle servers, beginning at a random one. */
+static bool summarise_brittle(struct findings_task *t, uint64_t now,
+			      struct fleet_wire_brittle *m)
+{
+	const struct server_table *servers = &t->g->servers;
+	uint32_t start = servers->all->len
+				 ? rng_below(&t->g->rng, servers->all->len)
+				 : 0;
+
+	return peer_brittle_summary(servers, now, t->g->settings->node, start,
+				    m);
+}
+
+/*
+ * Sends what servers have said to this node of being brittle to all, and now and then
+ * all that is known to some. After its start a node asks a few for that.
+ */
+static void send_brittle(struct findings_task *t, uint64_t now)
+{
+	uint8_t bytes[PEER_WIRE_MAX_BYTES];
+	struct fleet_wire_brittle m;
+
+	if (peer_brittle_take_news(&t->g->servers, now, t->g->settings->node,
+				   &m))
+		fleet_task_send_to_all(t->fleet, bytes,
+				       encode_brittle(t, &m, bytes));
+	if (!t->heard_brittle && now - t->g->started_at < ASK_MS) {
+		m.n = 0;
+		fleet_task_send_to_some(t->fleet, ASK_FANOUT, bytes,
+					encode_brittle(t, &m, bytes));
+	}
+	if (now < t->next_brittle_at)
+		return;
+	t->next_brittle_at = now + SUMMARY_INTERVAL_MS;
+	if (summarise_brittle(t, now, &m))
+		fleet_task_send_to_some(t->fleet, SUMMARY_FANOUT, bytes,
+					encode_brittle(t, &m, bytes));
+}
+
 /* Sends what this node has found; call it each tick. */
 void findings_task_tick(struct findings_task *t, uint64_t now)
 {
 	send_crashes(t, now);
+	send_brittle(t, now);
 	send_load_limits(t, now);
 }
 
@@ -203,3 +254,34 @@
 				m.limit[i].limit);
 	}
 }
+
+/* Handles a message about brittle servers from the node at `sender`. */
+void findings_task_on_brittle(struct findings_task *t, const uint8_t *bytes,
+			      size_t len, struct member_addr sender)
+{
+	struct fleet_wire_brittle m, known;
+	uint64_t now = gateway_now(t->g);
+	uint8_t answer[PEER_WIRE_MAX_BYTES];
+
+	if (fleet_wire_decode_brittle(bytes, len, t->g->settings->cluster_key,
+				      &m) != PEER_WIRE_OK) {
+		counter_add(&t->g->counter_set, COUNTER_PEER_BAD, 1);
+		return;
+	}
+	t->heard_brittle |= m.n && t->g->servers.all->len;
+	/* Services come first in a message; servers' own answers say more. */
+	for (uint32_t i = m.n; i-- > 0;) {
+		const char *service, *server;
+
+		if (peer_brittle_apply(&t->g->servers, now, &m.notice[i],
+				       &service, &server))
+			log_event(LOG_EVENT_SERVER_BRITTLE,
+				  "service=%s server=%s refusals_per_s=%.1f "
+				  "node=%s",
+				  service, server, m.notice[i].refusals_per_s,
+				  m.node);
+	}
+	if (!m.n && summarise_brittle(t, now, &known))
+		fleet_task_send(t->fleet, sender, answer,
+				encode_brittle(t, &known, answer));
+}
--- a/fleet/findings-task.h
+++ b/fleet/findings-task.h
@@ -20,6 +20,8 @@
 void findings_task_tick(struct findings_task *t, uint64_t now);
 void findings_task_on_crashes(struct findings_task *t, const uint8_t *bytes,
 			      size_t len, struct member_addr sender);
+void findings_task_on_brittle(struct findings_task *t, const uint8_t *bytes,
+			      size_t len, struct member_addr sender);
 void findings_task_on_load_limits(struct findings_task *t, const uint8_t *bytes,
 				  size_t len);
 
--- a/fleet/fleet-task.c
+++ b/fleet/fleet-task.c
@@ -724,6 +724,11 @@
 			t->findings, bytes, (size_t)len,
 			addr_of((const struct sockaddr_in *)from));
 		break;
+	case FLEET_WIRE_BRITTLE:
+		findings_task_on_brittle(
+			t->findings, bytes, (size_t)len,
+			addr_of((const struct sockaddr_in *)from));
+		break;
 	case FLEET_WIRE_LOAD_LIMITS:
 		findings_task_on_load_limits(t->findings, bytes, (size_t)len);
 		break;
--- a/t/fuzz/parsers.c
+++ b/t/fuzz/parsers.c
@@ -72,6 +72,7 @@
 	struct fleet_wire_loads loads;
 	struct fleet_wire_source source;
 	struct fleet_wire_limits limits;
+	struct fleet_wire_brittle brittle;
 
 	if (len > sizeof(buf) - PEER_WIRE_MAC_BYTES)
 		return;
@@ -85,6 +86,7 @@
 	fleet_wire_decode_loads(buf, len, "key", &loads);
 	fleet_wire_decode_source(buf, len, "key", &source);
 	fleet_wire_decode_limits(buf, len, "key", &limits);
+	fleet_wire_decode_brittle(buf, len, "key", &brittle);
 }
 
 static void fuzz_event_stream(const char *text, size_t len)
--- a/t/unit/brittle_test.cc
+++ b/t/unit/brittle_test.cc
@@ -3,6 +3,7 @@
 
 extern "C" {
 #include "exchange/brittle.h"
+#include "exchange/peer-brittle.h"
 #include "exchange/servers.h"
 }
 
@@ -163,6 +164,81 @@
 	EXPECT_TRUE(s.may_get("a"));
 }
 
+/* Returns how many of a message's notices change what is known. */
+int apply(Servers &to, const fleet_wire_brittle &m, uint64_t now)
+{
+	const char *service, *server;
+	int changed = 0;
+
+	for (uint32_t i = m.n; i-- > 0;)
+		changed += peer_brittle_apply(&to.t, now, &m.notice[i],
+					      &service, &server);
+	return changed;
+}
+
+TEST(PeerBrittle, NewsAreToldOnce)
+{
+	Servers from;
+	fleet_wire_brittle m;
+
+	EXPECT_FALSE(peer_brittle_take_news(&from.t, 1000, "n", &m));
+	hear(&from.t, "a", 1000, 3);
+	from.of("a")->news = true;
+	EXPECT_TRUE(peer_brittle_take_news(&from.t, 1100, "n", &m));
+	EXPECT_EQ(m.n, 1u);
+	EXPECT_EQ(m.notice[0].age_ms, 100u);
+	EXPECT_FALSE(peer_brittle_take_news(&from.t, 1100, "n", &m));
+}
+
+TEST(PeerBrittle, ANodeThatHearsNothingItselfLearnsBothStartAndEnd)
+{
+	Servers from, to;
+	fleet_wire_brittle m;
+
+	hear(&from.t, "a", 1000, 3);
+	ASSERT_TRUE(peer_brittle_summary(&from.t, 1100, "n", 0, &m));
+	EXPECT_GT(apply(to, m, 5100), 0);
+	EXPECT_EQ(apply(to, m, 5101), 0);
+	EXPECT_TRUE(brittle_is_in_force(to.of("a")));
+	EXPECT_TRUE(brittle_is_in_force(to.of("b")));
+	EXPECT_FALSE(brittle_is_in_force(to.of("c")));
+
+	hear(&from.t, "a", 2000, 0);
+	hear(&from.t, "b", 2000, 0);
+	ASSERT_TRUE(peer_brittle_summary(&from.t, 2100, "n", 1, &m));
+	EXPECT_GT(apply(to, m, 6100), 0);
+	EXPECT_FALSE(brittle_is_in_force(to.of("a")));
+	EXPECT_FALSE(brittle_is_in_force(to.of("b")));
+}
+
+TEST(PeerBrittle, AnOlderNoticeDoesNotEndIt)
+{
+	Servers from, to;
+	fleet_wire_brittle m;
+
+	hear(&from.t, "a", 1000, 3);
+	hear(&from.t, "a", 1001, 0);
+	ASSERT_TRUE(peer_brittle_summary(&from.t, 1100, "n", 0, &m));
+	hear(&to.t, "a", 5050, 3);
+	apply(to, m, 5100);
+	EXPECT_TRUE(brittle_is_in_force(to.of("a")));
+}
+
+TEST(PeerBrittle, AServiceIsToldOfWhileNoneOfItsServersIsListed)
+{
+	Servers from, to;
+	fleet_wire_brittle m;
+
+	hear(&from.t, "a", 1000, 3);
+	for (const char *id : {"a", "b"})
+		server_remove(&from.t, id, 0);
+	server_free_removed(&from.t, 1500);
+	ASSERT_EQ(server_find(&from.t, "a"), nullptr);
+	ASSERT_TRUE(peer_brittle_summary(&from.t, 2000, "n", 0, &m));
+	EXPECT_EQ(apply(to, m, 5100), 1);
+	EXPECT_TRUE(brittle_is_in_force(to.of("a")));
+}
+
 RC_GTEST_PROP(Brittle, AllNodesTogetherStayWithinTheSlots, ())
 {
 	const uint32_t nodes = *rc::gen::inRange(1, 400);
--- a/t/unit/shift_test.cc
+++ b/t/unit/shift_test.cc
@@ -480,6 +480,38 @@
 	EXPECT_DOUBLE_EQ(m2.limit[1].per_s, 0);
 }
 
+TEST(FleetCodec, BrittleServersSurviveEncoding)
+{
+	uint8_t buf[PEER_WIRE_MAX_BYTES];
+	fleet_wire_brittle m = {}, m2;
+
+	m.n = 2;
+	m.notice[0] = {9, 8, 2.125, 350};
+	m.notice[1] = {7, 0, 0, 0};
+	size_t n = fleet_wire_encode_brittle(&m, kKey, buf, sizeof(buf));
+	ASSERT_EQ(fleet_wire_kind_of(buf, n), FLEET_WIRE_BRITTLE);
+	ASSERT_EQ(fleet_wire_decode_brittle(buf, n, kKey, &m2), PEER_WIRE_OK);
+	ASSERT_EQ(m2.n, 2u);
+	EXPECT_EQ(m2.notice[0].service, 9u);
+	EXPECT_EQ(m2.notice[0].server, 8u);
+	EXPECT_DOUBLE_EQ(m2.notice[0].refusals_per_s, 2.125);
+	EXPECT_EQ(m2.notice[0].age_ms, 350u);
+	EXPECT_EQ(m2.notice[1].server, 0u);
+	EXPECT_EQ(fleet_wire_decode_brittle(buf, n, "another-key-of-others",
+					    &m2),
+		  PEER_WIRE_BAD_MAC);
+}
+
+TEST(FleetCodec, AFullMessageOfBrittleServersFitsIntoADatagram)
+{
+	uint8_t buf[PEER_WIRE_MAX_BYTES];
+	fleet_wire_brittle m = {};
+
+	memset(m.node, 'n', sizeof(m.node) - 1);
+	m.n = FLEET_WIRE_MAX_BRITTLE;
+	EXPECT_GT(fleet_wire_encode_brittle(&m, kKey, buf, sizeof(buf)), 0u);
+}
+
 TEST(FleetCodec, AFullMessageOfLimitsFitsIntoADatagram)
 {
 	uint8_t buf[PEER_WIRE_MAX_BYTES];
--- a/wire/fleet-codec.c
+++ b/wire/fleet-codec.c
@@ -16,6 +16,7 @@
 #define PROC_LIMITS 9
 #define PROC_CRASHES 10
 #define PROC_LOAD_LIMITS 11
+#define PROC_BRITTLE 12
 #define PROC_OFFSET 20 /* of the procedure in an ONC RPC call, in bytes */
 
 /*
@@ -43,6 +44,8 @@
 		return FLEET_WIRE_CRASHES;
 	case PROC_LOAD_LIMITS:
 		return FLEET_WIRE_LOAD_LIMITS;
+	case PROC_BRITTLE:
+		return FLEET_WIRE_BRITTLE;
 	default:
 		return FLEET_WIRE_MEMBERSHIP;
 	}
@@ -465,6 +468,64 @@
 	return error;
 }
 
+/*
+ * Encodes and signs what servers said of being brittle. Returns the length in
+ * bytes, or 0 if it does not fit.
+ */
+size_t fleet_wire_encode_brittle(const struct fleet_wire_brittle *m,
+				 const char *key, uint8_t *buf, size_t size)
+{
+	struct fleet_brittle list[FLEET_WIRE_MAX_BRITTLE];
+	struct fleet_brittle_list w = {
+		.node = (char *)m->node,
+		.list = {.list_len = m->n, .list_val = list},
+	};
+
+	for (uint32_t i = 0; i < m->n; i++) {
+		const struct fleet_wire_brittle_notice *from = &m->notice[i];
+
+		list[i].service = from->service;
+		list[i].server = from->server;
+		list[i].refusals_per_s_milli = (u_int)MIN(
+			from->refusals_per_s * MILLI_PER_UNIT, UINT32_MAX);
+		list[i].age_ms = from->age_ms;
+	}
+	return encode(PROC_BRITTLE, (xdrproc_t)xdr_fleet_brittle_list, &w, key,
+		      buf, size);
+}
+
+/*
+ * Verifies and decodes what servers said of being brittle into `m`, which is
+ * zeroed on an error. Returns PEER_WIRE_OK or what was wrong.
+ */
+enum peer_wire_error fleet_wire_decode_brittle(const uint8_t *buf, size_t len,
+					       const char *key,
+					       struct fleet_wire_brittle *m)
+{
+	struct fleet_brittle_list w;
+	enum peer_wire_error error;
+
+	memset(&w, 0, sizeof(w));
+	memset(m, 0, sizeof(*m));
+	error = decode(PROC_BRITTLE, (xdrproc_t)xdr_fleet_brittle_list, &w, key,
+		       buf, len);
+	if (error == PEER_WIRE_OK) {
+		g_strlcpy(m->node, w.node, sizeof(m->node));
+		m->n = MIN(w.list.list_len, FLEET_WIRE_MAX_BRITTLE);
+		for (uint32_t i = 0; i < m->n; i++) {
+			const struct fleet_brittle *from = &w.list.list_val[i];
+
+			m->notice[i].service = from->service;
+			m->notice[i].server = from->server;
+			m->notice[i].refusals_per_s =
+				from->refusals_per_s_milli / MILLI_PER_UNIT;
+			m->notice[i].age_ms = from->age_ms;
+		}
+	}
+	xdr_free((xdrproc_t)xdr_fleet_brittle_list, (char *)&w);
+	return error;
+}
+
 /*
  * Encodes and signs limits of load. Returns the length in bytes, or 0 if it
  * does not fit.
--- a/wire/fleet-codec.h
+++ b/wire/fleet-codec.h
@@ -24,6 +24,7 @@
 	FLEET_WIRE_LIMITS,
 	FLEET_WIRE_CRASHES,
 	FLEET_WIRE_LOAD_LIMITS,
+	FLEET_WIRE_BRITTLE,
 };
 
 /* A node's counts in the roll-out of a service to its target version. */
@@ -115,6 +116,24 @@
 	} limit[FLEET_WIRE_MAX_LOAD_LIMITS];
 };
 
+#define FLEET_WIRE_MAX_BRITTLE 32 /* in one message */
+
+/* What a server last said of being brittle; see exchange/brittle.h. */
+struct fleet_wire_brittle_notice {
+	uint64_t service; /* hash of its name */
+	uint64_t
+		server; /* hash of its id; 0: one that is not listed any more */
+	double refusals_per_s; /* 0: not brittle */
+	uint32_t age_ms; /* of the answer that said so */
+};
+
+/* Without any notice it asks for those that the receiver knows. */
+struct fleet_wire_brittle {
+	char node[SHIFT_NAME_MAX];
+	uint32_t n;
+	struct fleet_wire_brittle_notice notice[FLEET_WIRE_MAX_BRITTLE];
+};
+
 /*
  * Source status: the latest changes that the sender knows of. Sent by a node
  * that watches the source and whose source answers.
@@ -157,6 +176,11 @@
 enum peer_wire_error fleet_wire_decode_crashes(const uint8_t *buf, size_t len,
 					       const char *key,
 					       struct fleet_wire_crashes *m);
+size_t fleet_wire_encode_brittle(const struct fleet_wire_brittle *m,
+				 const char *key, uint8_t *buf, size_t size);
+enum peer_wire_error fleet_wire_decode_brittle(const uint8_t *buf, size_t len,
+					       const char *key,
+					       struct fleet_wire_brittle *m);
 size_t fleet_wire_encode_limits(const struct fleet_wire_limits *l,
 				const char *key, uint8_t *buf, size_t size);
 enum peer_wire_error fleet_wire_decode_limits(const uint8_t *buf, size_t len,
--- a/wire/fleet-xdr.c
+++ b/wire/fleet-xdr.c
@@ -3,7 +3,7 @@
  * It was generated using rpcgen.
  */
 
-#include "fleet.h"
+#include "wire/fleet.h"
 
 bool_t
 xdr_fleet_cell (XDR *xdrs, fleet_cell *objp)
@@ -310,6 +310,35 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fleet_brittle (XDR *xdrs, fleet_brittle *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->server))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->refusals_per_s_milli))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fleet_brittle_list (XDR *xdrs, fleet_brittle_list *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->node, FLEET_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, FLEET_BRITTLE_MAX,
+		sizeof (fleet_brittle), (xdrproc_t) xdr_fleet_brittle))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fleet_source (XDR *xdrs, fleet_source *objp)
 {
--- a/wire/fleet.h
+++ b/wire/fleet.h
@@ -22,6 +22,7 @@
 #define FLEET_LIMITS_MAX 64
 #define FLEET_CRASHES_MAX 32
 #define FLEET_LOAD_LIMITS_MAX 32
+#define FLEET_BRITTLE_MAX 32
 
 struct fleet_cell {
 	u_quad_t route;
@@ -139,6 +140,23 @@
 };
 typedef struct fleet_load_limits fleet_load_limits;
 
+struct fleet_brittle {
+	u_quad_t service;
+	u_quad_t server;
+	u_int refusals_per_s_milli;
+	u_int age_ms;
+};
+typedef struct fleet_brittle fleet_brittle;
+
+struct fleet_brittle_list {
+	char *node;
+	struct {
+		u_int list_len;
+		fleet_brittle *list_val;
+	} list;
+};
+typedef struct fleet_brittle_list fleet_brittle_list;
+
 struct fleet_source {
 	char *node;
 	u_quad_t servers;
@@ -173,6 +191,8 @@
 extern  bool_t xdr_fleet_crashes (XDR *, fleet_crashes*);
 extern  bool_t xdr_fleet_load_limit (XDR *, fleet_load_limit*);
 extern  bool_t xdr_fleet_load_limits (XDR *, fleet_load_limits*);
+extern  bool_t xdr_fleet_brittle (XDR *, fleet_brittle*);
+extern  bool_t xdr_fleet_brittle_list (XDR *, fleet_brittle_list*);
 extern  bool_t xdr_fleet_source (XDR *, fleet_source*);
 extern  bool_t xdr_fleet_plan (XDR *, fleet_plan*);
 
@@ -190,6 +210,8 @@
 extern bool_t xdr_fleet_crashes ();
 extern bool_t xdr_fleet_load_limit ();
 extern bool_t xdr_fleet_load_limits ();
+extern bool_t xdr_fleet_brittle ();
+extern bool_t xdr_fleet_brittle_list ();
 extern bool_t xdr_fleet_source ();
 extern bool_t xdr_fleet_plan ();
 
--- a/wire/fleet.x
+++ b/wire/fleet.x
@@ -14,6 +14,7 @@
 const FLEET_LIMITS_MAX = 64;
 const FLEET_CRASHES_MAX = 32;
 const FLEET_LOAD_LIMITS_MAX = 32;
+const FLEET_BRITTLE_MAX = 32;
 
 struct fleet_cell {
 	unsigned hyper route;
@@ -97,6 +98,18 @@
 	fleet_load_limit list<FLEET_LOAD_LIMITS_MAX>;
 };
 
+struct fleet_brittle {
+	unsigned hyper service;
+	unsigned hyper server;
+	unsigned int refusals_per_s_milli;
+	unsigned int age_ms;
+};
+
+struct fleet_brittle_list {
+	string node<FLEET_NAME_MAX>;
+	fleet_brittle list<FLEET_BRITTLE_MAX>;
+};
+
 struct fleet_source {
 	string node<FLEET_NAME_MAX>;
 	unsigned hyper servers;
