--- a/fleet/fleet-task.c
+++ b/fleet/fleet-task.c
@@ -4,13 +4,13 @@
 #include <string.h>
 #include <time.h>
 #include <uv.h>
-#include <xxhash.h>
 
 #include "daemon/gateway.h"
 #include "exchange/peer-limits.h"
 #include "fleet/findings-task.h"
 #include "fleet/member-transfer.h"
 #include "fleet/peer-news.h"
+#include "fleet/rank.h"
 #include "fleet/source-follow.h"
 #include "fleet/state-task.h"
 #include "fleet/watch-plan.h"
@@ -33,7 +33,6 @@
 #define LOAD_FANOUT 16 /* nodes that a load message is sent to */
 #define BRITTLE_RANK_INTERVAL_MS 1000
 #define EVALUATORS 2 /* nodes that get a roll-out's reports, by rank */
-#define MAX_TOP_RANKED MAX(EVALUATORS, WATCH_PLAN_WATCHERS)
 
 struct fleet_task {
 	struct gateway_state *g;
@@ -110,94 +109,41 @@
 	send_all(t, out);
 }
 
-/* Rendezvous hashing: the node with the lowest hash has the role first. */
-static uint64_t hash_rank(uint64_t role_hash, const char *node)
+static struct rank_view live_nodes(const struct fleet_task *t)
 {
-	const uint64_t pair[2] = {role_hash, XXH3_64bits(node, strlen(node))};
-
-	return XXH3_64bits(pair, sizeof(pair));
-}
-
-static uint64_t hash_role(const char *role)
-{
-	return XXH3_64bits(role, strlen(role));
-}
+	const struct rank_view v = {
+		.members = t->members.members,
+		.self = t->g->settings->node,
+	};
 
-static bool is_live(const struct member_entry *m)
-{
-	return m->info.state == MEMBER_ALIVE || m->info.state == MEMBER_SUSPECT;
+	return v;
 }
 
 /*
- * Returns how many live nodes come before this one for a role; the nodes of
- * the lowest ranks perform it. Nodes with different member tables may have
- * the same rank, so what a role does must be safe to do twice.
+ * Returns how many live nodes come before this one for a role; the nodes of the
+ * lowest ranks perform it.
  */
 uint32_t fleet_task_rank(const struct fleet_task *t, const char *role)
 {
-	const GArray *members = t->members.members;
-	uint64_t hash = hash_role(role);
-	uint64_t mine = hash_rank(hash, t->g->settings->node);
-	uint32_t rank = 0;
+	const struct rank_view v = live_nodes(t);
 
-	for (guint i = 0; i < members->len; i++) {
-		const struct member_entry *m =
-			&g_array_index(members, struct member_entry, i);
-
-		rank += is_live(m) && hash_rank(hash, m->info.name) < mine;
-	}
-	return rank;
+	return rank_of_self(&v, role);
 }
 
 /* Returns the number of nodes alive or suspect, including this one. */
 uint32_t fleet_task_live_count(const struct fleet_task *t)
 {
-	return member_count(&t->members, MEMBER_ALIVE) +
-	       member_count(&t->members, MEMBER_SUSPECT) + 1;
-}
+	const struct rank_view v = live_nodes(t);
 
-/*
- * Stores the live members of the lowest ranks for a role, without this node,
- * in `first`. Returns their number, at most `max`, which is at most
- * MAX_TOP_RANKED.
- */
-static uint32_t top_ranked_others(const struct fleet_task *t, const char *role,
-				  const struct member_entry **first,
-				  uint32_t max)
-{
-	const GArray *members = t->members.members;
-	uint64_t hash = hash_role(role);
-	uint64_t ranks[MAX_TOP_RANKED] = {0};
-	uint32_t n = 0;
-
-	for (guint i = 0; i < members->len; i++) {
-		const struct member_entry *m =
-			&g_array_index(members, struct member_entry, i);
-		uint64_t rank = hash_rank(hash, m->info.name);
-		uint32_t at = n;
-
-		if (!is_live(m))
-			continue;
-		while (at && rank < ranks[at - 1])
-			at--;
-		if (at >= max)
-			continue;
-		n = MIN(n + 1, max);
-		for (uint32_t k = n - 1; k > at; k--) {
-			ranks[k] = ranks[k - 1];
-			first[k] = first[k - 1];
-		}
-		ranks[at] = rank;
-		first[at] = m;
-	}
-	return n;
+	return rank_count_nodes(&v);
 }
 
 static void send_to_evaluators(struct fleet_task *t, const char *role,
 			       const uint8_t *bytes, size_t len)
 {
 	const struct member_entry *first[EVALUATORS];
-	uint32_t n = top_ranked_others(t, role, first, EVALUATORS);
+	const struct rank_view v = live_nodes(t);
+	uint32_t n = rank_find_first(&v, role, first, EVALUATORS);
 
 	for (uint32_t i = 0; i < n; i++)
 		fleet_task_send(t, first[i]->info.addr, bytes, len);
@@ -523,8 +469,9 @@
 	uint64_t now = gateway_now(t->g);
 	uint32_t added = member_transfer_apply(&t->members, now, list);
 	const struct member_entry *first[WATCH_PLAN_WATCHERS];
+	const struct rank_view v = live_nodes(t);
 	uint32_t n =
-		top_ranked_others(t, WATCH_ROLE, first, WATCH_PLAN_WATCHERS);
+		rank_find_first(&v, WATCH_ROLE, first, WATCH_PLAN_WATCHERS);
 	GArray *out = peer_task_new_datagrams();
 
 	for (uint32_t i = 0; i < n; i++)
@@ -646,8 +593,8 @@
 		counter_add(&t->g->counter_set, COUNTER_PEER_BAD, 1);
 		return;
 	}
-	if (hash_rank(hash_role(WATCH_ROLE), s.node) <
-	    hash_rank(hash_role(WATCH_ROLE), t->g->settings->node))
+	if (rank_hash_node(rank_hash_role(WATCH_ROLE), s.node) <
+	    rank_hash_node(rank_hash_role(WATCH_ROLE), t->g->settings->node))
 		t->lower_status_at = now;
 	c.same_servers = s.servers == server_table_digest(&t->g->servers);
 	memcpy(c.reported, s.changed, sizeof(c.reported));
