fleet: give nodes that start, wake or take over no slots at once

Brittle servers fell when nodes joined, woke from a pause of some seconds, or were killed and started again: a starting node served before it had heard that a server is brittle, and then as the member of a small fleet; a node that wakes went on with shares that others had taken over after its seeming death.

Now a node has no share for 3 s after its start or a pause; the place of a node that has died or left stays taken for 10 s; a node pings the seeds at its start instead of at the first tick and asks whoever answers; requests wait for that answer, 300 ms at most; a starting node does not say that it knows of nothing; and no node sends before its rank is known.

--- a/daemon/gateway.c
+++ b/daemon/gateway.c
@@ -14,6 +14,7 @@
 #include "daemon/version.h"
 #include "exchange/exchange.h"
 #include "exchange/intake-task.h"
+#include "fleet/findings-task.h"
 #include "fleet/fleet-task.h"
 #include "fleet/state-task.h"
 #include "invariant.h"
@@ -35,6 +36,8 @@
 #define INITIAL_RECEIVE_MS 5000
 /* After start: how long requests wait until every topic has been read. */
 #define MAX_WAIT_FOR_TOPICS_MS 600
+/* The same until another node has told which servers are brittle. */
+#define MAX_WAIT_FOR_PEERS_MS 300
 /* Time after a pause in which the reports of other nodes arrive anew. */
 #define RESUME_SETTLE_MS 1000
 #define NS_PER_MS 1000000ULL
@@ -109,6 +112,7 @@
 	g->resumed_at = gateway_now(g);
 	g->confirming = true;
 	platform_feed_confirm(g->feed);
+	fleet_task_on_pause(g->fleet, g->resumed_at);
 }
 
 /* Returns whether new requests wait after a pause. */
@@ -140,10 +144,22 @@
 	return g->routes && (!lost_at || now - lost_at < CONFIG_STALE_AFTER_MS);
 }
 
+/*
+ * Returns whether new requests may be served: what they need has been read, and
+ * other nodes have told which servers are brittle, or have had the time to.
+ */
+bool gateway_may_serve(struct gateway_state *g)
+{
+	return gateway_has_all_topics(g) && !gateway_is_confirming(g) &&
+	       (findings_task_has_heard_brittle(
+			fleet_task_findings(g->fleet)) ||
+		gateway_now(g) - g->started_at > MAX_WAIT_FOR_PEERS_MS);
+}
+
 /* Serves the requests that wait, if what they wait for is known. */
-static void serve_pending(struct gateway_state *g)
+void gateway_serve_pending(struct gateway_state *g)
 {
-	if (gateway_has_all_topics(g) && !gateway_is_confirming(g))
+	if (gateway_may_serve(g))
 		exchange_serve_pending(g);
 }
 
@@ -208,7 +224,7 @@
 		  revision, routes->n_routes, routes->n_services,
 		  routes->n_orgs);
 	log_readiness(g);
-	serve_pending(g);
+	gateway_serve_pending(g);
 }
 
 static void on_server(void *user, const struct server_entry *entry)
@@ -286,7 +302,7 @@
 	if (topic == FEED_SERVERS)
 		removal_log_set_revision(&g->servers.removals, revision);
 	log_readiness(g);
-	serve_pending(g);
+	gateway_serve_pending(g);
 }
 
 static void on_current(void *user, enum feed_topic topic, uint64_t revision)
@@ -514,8 +530,9 @@
 	if (tick_count % SETTINGS_CHECK_TICKS == 0 && settings_changed(g))
 		reload_settings(g, "changed");
 	if (g->pending_requests->len &&
-	    now - g->started_at > MAX_WAIT_FOR_TOPICS_MS &&
-	    !gateway_is_confirming(g))
+	    (gateway_may_serve(g) ||
+	     (now - g->started_at > MAX_WAIT_FOR_TOPICS_MS &&
+	      !gateway_is_confirming(g))))
 		exchange_serve_pending(g);
 	if (g->draining)
 		check_drain(g, now);
--- a/exchange/brittle.c
+++ b/exchange/brittle.c
@@ -21,12 +21,12 @@
 	return *end || !(n < 1e9) ? 0 : MAX(n, MIN_REFUSALS_PER_S);
 }
 
-/* Until its rank is known, a node sends one request at a time. */
+/* Until its rank is known, a node sends nothing. */
 static void take_up(struct brittle *b, const struct brittle_notice *said)
 {
 	if (!b->notice.refusals_per_s) {
 		b->ranked = false;
-		b->max_in_flight = 1;
+		b->max_in_flight = 0;
 		b->wait_until = 0;
 	}
 	b->notice = *said;
@@ -60,19 +60,19 @@
 
 /*
  * Handles a start of the server: it has not answered yet, so what is known of its
- * service holds. If that is brittle the node must not send before its rank is known,
- * since all nodes see the start at the same time.
+ * service holds.
  */
 void brittle_on_start(struct brittle *b, const struct brittle_notice *service)
 {
-	bool ranked = b->ranked && b->notice.refusals_per_s;
+	bool was_brittle = brittle_is_in_force(b);
 
 	b->notice = *service;
 	b->own = false;
 	b->wait_until = 0;
-	b->ranked = ranked;
-	if (!ranked)
+	if (!was_brittle) {
+		b->ranked = false;
 		b->max_in_flight = 0;
+	}
 }
 
 /*
--- a/exchange/brittle.h
+++ b/exchange/brittle.h
@@ -23,7 +23,7 @@
 	struct brittle_notice notice;
 	bool own; /* the answer was the server's, since its latest start */
 	bool news; /* what this node has heard must be told to the others */
-	bool ranked; /* the next two are set by rank */
+	bool ranked; /* the next two are set by rank; until then it must not send */
 	uint32_t max_in_flight; /* of this node; 0: it must not send */
 	uint32_t nodes; /* that divide the slots */
 	uint64_t wait_until; /* after a refusal */
--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -8,6 +8,7 @@
 #include "crash/fingerprint.h"
 #include "exchange/intake-task.h"
 #include "exchange/load-limit.h"
+#include "fleet/fleet-task.h"
 #include "invariant.h"
 #include "log-event.h"
 #include "relay/header.h"
@@ -609,6 +610,7 @@
 	if (!server_hear_brittle(&x->g->servers, x->server, &said))
 		return;
 	x->server->brittle.news = true;
+	fleet_task_on_brittle(x->g->fleet, said.answered_at);
 	log_event(LOG_EVENT_SERVER_BRITTLE,
 		  "service=%s server=%s refusals_per_s=%.1f request=%s",
 		  x->server->service, x->server->id, said.refusals_per_s,
--- a/exchange/intake-task.c
+++ b/exchange/intake-task.c
@@ -233,8 +233,7 @@
 
 	counter_add(&g->counter_set, COUNTER_REQUESTS, 1);
 	gateway_check_pause(g);
-	if ((gateway_has_all_topics(g) && !gateway_is_confirming(g)) ||
-	    !wait_for_configuration(g, req))
+	if (gateway_may_serve(g) || !wait_for_configuration(g, req))
 		admit(g, req, false);
 }
 
@@ -246,6 +245,8 @@
 		return "draining";
 	if (gateway_is_confirming(g))
 		return "resumed";
+	if (!gateway_may_serve(g))
+		return "starting";
 	return g->relayed_requests >= MAX_RELAYED_REQUESTS ? "busy" : NULL;
 }
 
--- a/exchange/peer-brittle.c
+++ b/exchange/peer-brittle.c
@@ -1,16 +1,10 @@
 #include "exchange/peer-brittle.h"
 
 #include <string.h>
-#include <xxhash.h>
 
 /* For so long nodes repeat that a server is not brittle any more. */
 #define END_REPEAT_MS 30000
 
-static uint64_t hash_name(const char *name)
-{
-	return XXH3_64bits(name, strlen(name));
-}
-
 static void begin_message(struct fleet_wire_brittle *m, const char *node)
 {
 	memset(m, 0, sizeof(*m));
@@ -18,7 +12,7 @@
 }
 
 static void add_notice(struct fleet_wire_brittle *m, uint64_t now,
-		       const char *service, uint64_t server,
+		       uint64_t service, uint64_t server,
 		       const struct brittle_notice *n)
 {
 	struct fleet_wire_brittle_notice *to;
@@ -26,7 +20,7 @@
 	if (m->n == FLEET_WIRE_MAX_BRITTLE)
 		return;
 	to = &m->notice[m->n++];
-	to->service = hash_name(service);
+	to->service = service;
 	to->server = server;
 	to->refusals_per_s = n->refusals_per_s;
 	to->age_ms = (uint32_t)MIN(now - n->answered_at, UINT32_MAX);
@@ -46,7 +40,8 @@
 		if (!s->brittle.news || out->n == FLEET_WIRE_MAX_BRITTLE)
 			continue;
 		s->brittle.news = false;
-		add_notice(out, now, s->service, s->hash, &s->brittle.notice);
+		add_notice(out, now, s->service_hash, s->hash,
+			   &s->brittle.notice);
 	}
 	return out->n > 0;
 }
@@ -73,35 +68,35 @@
 	g_hash_table_iter_init(&it, servers->brittle_services);
 	while (g_hash_table_iter_next(&it, &service, &notice))
 		if (is_worth_telling(notice, now))
-			add_notice(out, now, service, 0, notice);
+			add_notice(out, now, *(uint64_t *)service, 0, notice);
 	for (guint i = 0; i < all->len; i++) {
 		const struct server_record *s =
 			all->pdata[(start + i) % all->len];
 
 		if (s->brittle.own && is_worth_telling(&s->brittle.notice, now))
-			add_notice(out, now, s->service, s->hash,
+			add_notice(out, now, s->service_hash, s->hash,
 				   &s->brittle.notice);
 	}
 	return out->n > 0;
 }
 
-/* Returns the name of a service with a known server by its hash, or NULL. */
+/* Returns the name of a service by its hash, "-" if no server of it is known. */
 static const char *find_service(const struct server_table *servers,
 				uint64_t hash)
 {
 	for (guint i = 0; i < servers->all->len; i++) {
 		const struct server_record *s = servers->all->pdata[i];
 
-		if (hash_name(s->service) == hash)
+		if (s->service_hash == hash)
 			return s->service;
 	}
-	return NULL;
+	return "-";
 }
 
 /*
  * Takes up what another node has heard of a server or of its service. Returns true
- * if what is known has changed, and then sets their names, that of the server to "-"
- * if it is not known here.
+ * if what is known has changed, and then sets their names, "-" if one is not known
+ * here.
  */
 bool peer_brittle_apply(struct server_table *servers, uint64_t now,
 			const struct fleet_wire_brittle_notice *from,
@@ -113,10 +108,11 @@
 		.answered_at = now - MIN(now, from->age_ms),
 	};
 
-	*service = s ? s->service : find_service(servers, from->service);
+	*service = find_service(servers, from->service);
 	*server = s ? s->id : "-";
+	if (!from->service)
+		return false;
 	if (s)
 		return server_hear_brittle(servers, s, &said);
-	return *service &&
-	       server_hear_brittle_service(servers, *service, &said);
+	return server_hear_brittle_service(servers, from->service, &said);
 }
--- a/exchange/servers.c
+++ b/exchange/servers.c
@@ -55,8 +55,8 @@
 	t->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	t->load_limits =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	t->brittle_services =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	t->brittle_services = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						    g_free, g_free);
 	t->all = g_ptr_array_new_with_free_func(free_server);
 	removal_log_init(&t->removals);
 }
@@ -98,12 +98,17 @@
 	*field = g_strdup(text);
 }
 
+static uint64_t hash_name(const char *name)
+{
+	return XXH3_64bits(name, strlen(name));
+}
+
 static struct server_record *add_server(struct server_table *t, const char *id)
 {
 	struct server_record *s = g_new0(struct server_record, 1);
 
 	s->id = g_strdup(id);
-	s->hash = XXH3_64bits(id, strlen(id));
+	s->hash = hash_name(id);
 	s->latency_ratio = 1;
 	g_hash_table_insert(t->by_id, s->id, s);
 	g_ptr_array_add(t->all, s);
@@ -141,10 +146,10 @@
 
 /* Returns the latest that servers of a service have said of being brittle. */
 static struct brittle_notice brittle_notice_of(const struct server_table *t,
-					       const char *service)
+					       uint64_t service)
 {
 	const struct brittle_notice *n =
-		g_hash_table_lookup(t->brittle_services, service);
+		g_hash_table_lookup(t->brittle_services, &service);
 	const struct brittle_notice none = {.answered_at = 0};
 
 	return n ? *n : none;
@@ -210,7 +215,8 @@
 				    const struct server_entry *entry)
 {
 	struct server_record *s = server_find(t, entry->id);
-	struct brittle_notice brittle = brittle_notice_of(t, entry->service);
+	uint64_t service = hash_name(entry->service);
+	struct brittle_notice brittle = brittle_notice_of(t, service);
 
 	if (s && entry->revision < s->revision)
 		return s;
@@ -219,9 +225,9 @@
 	else if (s->state != SERVER_READY ||
 		 g_strcmp0(s->address, entry->address) != 0)
 		reset_statistics(s);
-	if (!is_same_boot(s, entry) ||
-	    g_strcmp0(s->service, entry->service) != 0)
+	if (!is_same_boot(s, entry) || s->service_hash != service)
 		reset_boot(s, &brittle);
+	s->service_hash = service;
 	set_text(&s->service, entry->service);
 	set_text(&s->address, entry->address);
 	set_text(&s->zone, entry->zone);
@@ -412,14 +418,15 @@
 
 /* Returns the service's notice, which is added if it has none. */
 static struct brittle_notice *service_notice(struct server_table *t,
-					     const char *service)
+					     uint64_t service)
 {
 	struct brittle_notice *n =
-		g_hash_table_lookup(t->brittle_services, service);
+		g_hash_table_lookup(t->brittle_services, &service);
 
 	if (!n) {
 		n = g_new0(struct brittle_notice, 1);
-		g_hash_table_insert(t->brittle_services, g_strdup(service), n);
+		g_hash_table_insert(t->brittle_services,
+				    g_memdup2(&service, sizeof(service)), n);
 	}
 	return n;
 }
@@ -428,7 +435,7 @@
  * Takes up what some server of a service says of being brittle, for those that have
  * not answered themselves. Returns true if that has changed for the service.
  */
-bool server_hear_brittle_service(struct server_table *t, const char *service,
+bool server_hear_brittle_service(struct server_table *t, uint64_t service,
 				 const struct brittle_notice *said)
 {
 	struct brittle_notice *n = service_notice(t, service);
@@ -441,7 +448,7 @@
 	for (guint i = 0; said->refusals_per_s && i < t->all->len; i++) {
 		struct server_record *s = t->all->pdata[i];
 
-		if (!strcmp(s->service, service))
+		if (s->service_hash == service)
 			brittle_inherit(&s->brittle, said);
 	}
 	return changed;
@@ -459,7 +466,7 @@
 	if (!said->refusals_per_s && !s->brittle.notice.answered_at)
 		return false;
 	changed = brittle_hear(&s->brittle, said);
-	server_hear_brittle_service(t, s->service, said);
+	server_hear_brittle_service(t, s->service_hash, said);
 	return changed;
 }
 
--- a/exchange/servers.h
+++ b/exchange/servers.h
@@ -51,6 +51,7 @@
 	struct reach reach; /* of the server from this node */
 	struct load_limit *load_limit; /* of the version; owned by the table */
 	uint64_t hash; /* of id */
+	uint64_t service_hash;
 	uint32_t slots;
 	uint64_t cold_until; /* 0: not cold */
 	enum server_state state;
@@ -95,8 +96,8 @@
 	GHashTable *by_id; /* id -> struct server_record */
 	GHashTable *load_limits; /* "service/version" -> struct load_limit */
 	/*
-	 * Service -> struct brittle_notice, the latest of its servers. Kept while
-	 * none of them is listed.
+	 * Hash of a service's name -> struct brittle_notice, the latest of its
+	 * servers. Kept while none of them is listed.
 	 */
 	GHashTable *brittle_services;
 	GPtrArray *all;
@@ -146,7 +147,7 @@
 bool server_reach_is_impaired(const struct server_reach *r);
 bool server_hear_brittle(struct server_table *t, struct server_record *s,
 			 const struct brittle_notice *said);
-bool server_hear_brittle_service(struct server_table *t, const char *service,
+bool server_hear_brittle_service(struct server_table *t, uint64_t service,
 				 const struct brittle_notice *said);
 bool server_service_is_brittle(const struct server_table *t,
 			       const char *service);
--- a/fleet/findings-task.c
+++ b/fleet/findings-task.c
@@ -22,7 +22,7 @@
 	struct fleet_task *fleet;
 	uint64_t next_summary_at; /* ms, as all times here */
 	uint64_t next_brittle_at; /* the next summary of brittle servers */
-	bool heard_brittle; /* a message about them from another node */
+	bool heard_brittle; /* what another node knows of them */
 };
 
 static size_t encode_crashes(struct findings_task *t, uint64_t now,
@@ -118,6 +118,29 @@
 					 PEER_WIRE_MAX_BYTES);
 }
 
+static bool is_asking_for_brittle(const struct findings_task *t, uint64_t now)
+{
+	return !t->heard_brittle && now - t->g->started_at < ASK_MS;
+}
+
+/* Handles contact to a node, which may know what this one has not heard yet. */
+void findings_task_on_contact(struct findings_task *t, struct member_addr with)
+{
+	uint8_t bytes[PEER_WIRE_MAX_BYTES];
+	struct fleet_wire_brittle m = {.n = 0};
+
+	if (!is_asking_for_brittle(t, gateway_now(t->g)))
+		return;
+	g_strlcpy(m.node, t->g->settings->node, sizeof(m.node));
+	fleet_task_send(t->fleet, with, bytes, encode_brittle(t, &m, bytes));
+}
+
+/* Returns whether another node has told what it knows of brittle servers. */
+bool findings_task_has_heard_brittle(const struct findings_task *t)
+{
+	return t->heard_brittle;
+}
+
 /* Fills in what is known of brittle servers, beginning at a random one. */
 static bool summarise_brittle(struct findings_task *t, uint64_t now,
 			      struct fleet_wire_brittle *m)
@@ -144,7 +167,7 @@
 				   &m))
 		fleet_task_send_to_all(t->fleet, bytes,
 				       encode_brittle(t, &m, bytes));
-	if (!t->heard_brittle && now - t->g->started_at < ASK_MS) {
+	if (is_asking_for_brittle(t, now)) {
 		m.n = 0;
 		fleet_task_send_to_some(t->fleet, ASK_FANOUT, bytes,
 					encode_brittle(t, &m, bytes));
@@ -255,20 +278,37 @@
 	}
 }
 
+/*
+ * Tells a node what is known of brittle servers. A node that is asking itself does
+ * not say that there are none.
+ */
+static void answer_about_brittle(struct findings_task *t, struct member_addr to)
+{
+	uint64_t now = gateway_now(t->g);
+	uint8_t bytes[PEER_WIRE_MAX_BYTES];
+	struct fleet_wire_brittle m;
+
+	if (!summarise_brittle(t, now, &m)) {
+		if (is_asking_for_brittle(t, now))
+			return;
+		m.n = 1; /* without a service: an empty message would ask */
+	}
+	fleet_task_send(t->fleet, to, bytes, encode_brittle(t, &m, bytes));
+}
+
 /* Handles a message about brittle servers from the node at `sender`. */
 void findings_task_on_brittle(struct findings_task *t, const uint8_t *bytes,
 			      size_t len, struct member_addr sender)
 {
-	struct fleet_wire_brittle m, known;
+	struct fleet_wire_brittle m;
 	uint64_t now = gateway_now(t->g);
-	uint8_t answer[PEER_WIRE_MAX_BYTES];
 
 	if (fleet_wire_decode_brittle(bytes, len, t->g->settings->cluster_key,
 				      &m) != PEER_WIRE_OK) {
 		counter_add(&t->g->counter_set, COUNTER_PEER_BAD, 1);
 		return;
 	}
-	t->heard_brittle |= m.n && t->g->servers.all->len;
+	t->heard_brittle |= m.n > 0;
 	/* Services come first in a message; servers' own answers say more. */
 	for (uint32_t i = m.n; i-- > 0;) {
 		const char *service, *server;
@@ -281,7 +321,9 @@
 				  service, server, m.notice[i].refusals_per_s,
 				  m.node);
 	}
-	if (!m.n && summarise_brittle(t, now, &known))
-		fleet_task_send(t->fleet, sender, answer,
-				encode_brittle(t, &known, answer));
+	if (m.n)
+		fleet_task_on_brittle(t->fleet, now);
+	else
+		answer_about_brittle(t, sender);
+	gateway_serve_pending(t->g);
 }
--- a/fleet/findings-task.h
+++ b/fleet/findings-task.h
@@ -17,6 +17,8 @@
 
 struct findings_task *findings_task_new(struct gateway_state *g,
 					struct fleet_task *fleet);
+void findings_task_on_contact(struct findings_task *t, struct member_addr with);
+bool findings_task_has_heard_brittle(const struct findings_task *t);
 void findings_task_tick(struct findings_task *t, uint64_t now);
 void findings_task_on_crashes(struct findings_task *t, const uint8_t *bytes,
 			      size_t len, struct member_addr sender);
--- a/fleet/fleet-task.c
+++ b/fleet/fleet-task.c
@@ -32,6 +32,8 @@
 #define WATCH_ROLE "watch" /* nodes that watch the source, by rank */
 #define LOAD_FANOUT 16 /* nodes that a load message is sent to */
 #define BRITTLE_RANK_INTERVAL_MS 1000
+#define SHARE_HOLD_MS 10000 /* of a node's slots, after its death */
+#define SHARE_SETTLE_MS 3000 /* after a start or pause, without slots */
 #define EVALUATORS 2 /* nodes that get a roll-out's reports, by rank */
 
 struct fleet_task {
@@ -373,10 +375,55 @@
 }
 
 /*
- * Divides the limit of each server that names one, and the slots of each that is
- * brittle, between a few live nodes.
+ * The nodes that divide the slots of brittle servers. A node that has died or left
+ * counts for a while: its requests may still run, and if it was only cut off or
+ * paused it goes on.
  */
-static void divide_limits(struct fleet_task *t, uint64_t now)
+static struct rank_view slot_sharers(const struct fleet_task *t, uint64_t now)
+{
+	struct rank_view v = live_nodes(t);
+
+	v.now = now;
+	v.hold_ms = SHARE_HOLD_MS;
+	return v;
+}
+
+/*
+ * Returns whether this node knows the other nodes, and they know it, well enough to
+ * have a share of the slots: some time after its start or a pause.
+ */
+static bool may_share_slots(const struct fleet_task *t, uint64_t now)
+{
+	return now - MAX(t->g->started_at, t->g->resumed_at) >= SHARE_SETTLE_MS;
+}
+
+/* Sets this node's share of the slots of each brittle server. */
+static void divide_slots(struct fleet_task *t, uint64_t now)
+{
+	const GPtrArray *servers = t->g->servers.all;
+	const struct rank_view v = slot_sharers(t, now);
+	bool may_share = may_share_slots(t, now);
+	bool all = now >= t->next_brittle_at;
+	uint32_t nodes = 0;
+
+	if (all)
+		t->next_brittle_at = now + BRITTLE_RANK_INTERVAL_MS;
+	for (guint i = 0; i < servers->len; i++) {
+		struct server_record *s = servers->pdata[i];
+
+		if (!brittle_is_in_force(&s->brittle) ||
+		    (s->brittle.ranked && !all))
+			continue;
+		if (!nodes)
+			nodes = rank_count_nodes(&v);
+		brittle_set_rank(&s->brittle,
+				 may_share ? rank_of_self(&v, s->id) : nodes,
+				 nodes, s->slots);
+	}
+}
+
+/* Divides the limit of each server that names one between a few live nodes. */
+static void divide_limits(struct fleet_task *t)
 {
 	const GPtrArray *servers = t->g->servers.all;
 	uint32_t nodes = fleet_task_live_count(t);
@@ -384,16 +431,26 @@
 	for (guint i = 0; i < servers->len; i++) {
 		struct server_record *s = servers->pdata[i];
 
-		if (brittle_is_in_force(&s->brittle) &&
-		    (!s->brittle.ranked || now >= t->next_brittle_at))
-			brittle_set_rank(&s->brittle, fleet_task_rank(t, s->id),
-					 nodes, s->slots);
 		if (s->limit.per_s > 0)
 			rate_limit_set_rank(&s->limit,
 					    fleet_task_rank(t, s->id), nodes);
 	}
-	if (now >= t->next_brittle_at)
-		t->next_brittle_at = now + BRITTLE_RANK_INTERVAL_MS;
+}
+
+/* Sets this node's shares of servers that have just been found to be brittle. */
+void fleet_task_on_brittle(struct fleet_task *t, uint64_t now)
+{
+	divide_slots(t, now);
+}
+
+/*
+ * Handles a pause of the process that has just ended: others may have taken over its
+ * shares meanwhile.
+ */
+void fleet_task_on_pause(struct fleet_task *t, uint64_t now)
+{
+	t->next_brittle_at = now;
+	divide_slots(t, now);
 }
 
 /*
@@ -415,7 +472,8 @@
 	send_loads(t);
 	send_limits(t, now);
 	findings_task_tick(t->findings, now);
-	divide_limits(t, now);
+	divide_limits(t);
+	divide_slots(t, now);
 	send_source_status(t, now);
 	update_watch_role(t, now);
 	peer_task_log_changes(&t->members, &t->logged);
@@ -447,11 +505,18 @@
 	update_config_head(t, now);
 	head = member_on_message(&t->members, now, &msg, out);
 	send_all(t, out);
+	findings_task_on_contact(t->findings, msg.from.addr);
 	if (head.revision > (g->routes ? g->routes->revision : 0))
 		peer_state_on_newer(g->peer_state, now, msg.from.addr.ip,
 				    FEED_CONFIG);
 }
 
+/* Returns the task that tells what nodes have found out. */
+const struct findings_task *fleet_task_findings(const struct fleet_task *t)
+{
+	return t->findings;
+}
+
 /* Returns the table of members; it changes when the loop goes on. */
 const struct member_table *fleet_task_members(const struct fleet_task *t)
 {
@@ -712,6 +777,7 @@
 	member_init(&t->members, g->settings->node, t->self,
 		    (uint32_t)time(NULL), rng_next(&g->rng));
 	uv_udp_recv_start(&t->socket, on_alloc, on_receive);
+	ping_seeds(t, gateway_now(g));
 	return t;
 }
 
--- a/fleet/fleet-task.h
+++ b/fleet/fleet-task.h
@@ -8,6 +8,7 @@
 
 #include "member/member.h"
 
+struct findings_task;
 struct gateway_state;
 struct rng;
 
@@ -19,6 +20,9 @@
 struct fleet_task;
 
 struct fleet_task *fleet_task_start(struct gateway_state *g, GError **err);
+const struct findings_task *fleet_task_findings(const struct fleet_task *t);
+void fleet_task_on_brittle(struct fleet_task *t, uint64_t now);
+void fleet_task_on_pause(struct fleet_task *t, uint64_t now);
 void fleet_task_tick(struct fleet_task *t, uint64_t now);
 void fleet_task_leave(struct fleet_task *t);
 uint32_t fleet_task_rank(const struct fleet_task *t, const char *role);
--- a/t/unit/brittle_test.cc
+++ b/t/unit/brittle_test.cc
@@ -78,6 +78,8 @@
 	EXPECT_TRUE(brittle_allows(&b, 1000, 99));
 	EXPECT_TRUE(hear(&b, 1000, 3));
 	EXPECT_FALSE(hear(&b, 1001, 3));
+	EXPECT_FALSE(brittle_allows(&b, 1001, 0));
+	brittle_set_rank(&b, 0, 9, 6);
 	EXPECT_TRUE(brittle_allows(&b, 1001, 0));
 	EXPECT_FALSE(brittle_allows(&b, 1001, 1));
 	EXPECT_TRUE(hear(&b, 1002, 0));
