--- a/fleet/rank.c
+++ b/fleet/rank.c
@@ -64,15 +64,16 @@
 
 /*
  * Stores the members of the lowest ranks for a role, without this node, in `first`,
- * in their order. Returns their number, at most `max`.
+ * in their order. Returns their number, at most `max` and RANK_MAX_FIRST.
  */
 uint32_t rank_find_first(const struct rank_view *v, const char *role,
 			 const struct member_entry **first, uint32_t max)
 {
 	uint64_t hash = rank_hash_role(role);
-	g_autofree uint64_t *ranks = g_new0(uint64_t, max);
+	uint64_t ranks[RANK_MAX_FIRST] = {0};
 	uint32_t n = 0;
 
+	max = MIN(max, RANK_MAX_FIRST);
 	for (guint i = 0; i < v->members->len; i++) {
 		const struct member_entry *m = member_at(v, i);
 		uint64_t rank = rank_hash_node(hash, m->info.name);
--- a/fleet/rank.h
+++ b/fleet/rank.h
@@ -12,6 +12,8 @@
  * themselves, so what a role does must be safe to do twice. Members are struct
  * member_entry, without this node; times are milliseconds of its own clock.
  */
+#define RANK_MAX_FIRST 32 /* found by rank_find_first() */
+
 struct rank_view {
 	const GArray *members;
 	const char *self; /* name of this node */
