exchange: count requests that were given up at brittle servers

When a request's time is over, or its client has left, the node closes its connection and counts the slot as free, while the server may still run the request. With the slots divided exactly, the next one is then refused, and refusals make brittle servers fall (LIMIT). Such a request now holds its slot for another second, as long as the server is brittle.

The unit test failed on the code before (both outcomes).

--- a/exchange/brittle.c
+++ b/exchange/brittle.c
@@ -5,6 +5,8 @@
 #define MIN_REFUSALS_PER_S 0.2 /* bounds the wait after a refusal */
 /* For so long a server's own answer counts more than those of the others. */
 #define OWN_ANSWER_MS 2000
+/* A request that this node has given up may hold its slot for so long. */
+#define ABANDONED_MS 1000
 
 /*
  * Returns the number that a header field names, or 0 if it is absent or malformed.
@@ -69,6 +71,7 @@
 	b->notice = *service;
 	b->own = false;
 	b->wait_until = 0;
+	b->abandoned = 0;
 	if (!was_brittle) {
 		b->ranked = false;
 		b->max_in_flight = 0;
@@ -93,6 +96,18 @@
 	b->ranked = true;
 }
 
+static uint32_t count_abandoned(const struct brittle *b, uint64_t now)
+{
+	return now < b->abandoned_until ? b->abandoned : 0;
+}
+
+/* Handles a request that this node has given up while the server may run it. */
+void brittle_on_abandoned(struct brittle *b, uint64_t now)
+{
+	b->abandoned = count_abandoned(b, now) + 1;
+	b->abandoned_until = now + ABANDONED_MS;
+}
+
 /* Handles a refusal for want of room. */
 void brittle_on_refusal(struct brittle *b, uint64_t now)
 {
@@ -115,5 +130,6 @@
 {
 	if (!brittle_is_in_force(b))
 		return true;
-	return now >= b->wait_until && in_flight < b->max_in_flight;
+	return now >= b->wait_until &&
+	       in_flight + count_abandoned(b, now) < b->max_in_flight;
 }
--- a/exchange/brittle.h
+++ b/exchange/brittle.h
@@ -27,6 +27,8 @@
 	uint32_t max_in_flight; /* of this node; 0: it must not send */
 	uint32_t nodes; /* that divide the slots */
 	uint64_t wait_until; /* after a refusal */
+	uint32_t abandoned; /* requests that may still run there until then */
+	uint64_t abandoned_until;
 };
 
 double brittle_parse(const char *text);
@@ -35,6 +37,7 @@
 void brittle_on_start(struct brittle *b, const struct brittle_notice *service);
 void brittle_set_rank(struct brittle *b, uint32_t rank, uint32_t nodes,
 		      uint32_t slots);
+void brittle_on_abandoned(struct brittle *b, uint64_t now);
 void brittle_on_refusal(struct brittle *b, uint64_t now);
 bool brittle_is_in_force(const struct brittle *b);
 bool brittle_allows(const struct brittle *b, uint64_t now, uint32_t in_flight);
--- a/exchange/servers.c
+++ b/exchange/servers.c
@@ -698,6 +698,7 @@
 			eject(s, now);
 		break;
 	case SERVER_CALL_TIMED_OUT:
+		brittle_on_abandoned(&s->brittle, now);
 		s->failure_rate += FAILURE_RATE_WEIGHT * (1 - s->failure_rate);
 		eject(s, now);
 		break;
@@ -708,6 +709,7 @@
 		brittle_on_refusal(&s->brittle, now);
 		break;
 	case SERVER_CALL_IGNORED:
+		brittle_on_abandoned(&s->brittle, now);
 		break;
 	}
 }
--- a/t/unit/brittle_test.cc
+++ b/t/unit/brittle_test.cc
@@ -155,6 +155,24 @@
 	EXPECT_TRUE(s.may_get("a"));
 }
 
+TEST(Brittle, ARequestThatWasGivenUpHoldsItsSlotForAWhile)
+{
+	for (server_outcome outcome : {SERVER_CALL_TIMED_OUT, SERVER_CALL_IGNORED}) {
+		Servers s;
+		server_record *a = server_find(&s.t, "a");
+
+		hear(&s.t, "a", 1000, 3);
+		brittle_set_rank(&a->brittle, 0, 9, 6);
+		server_on_request_start(a, 1000);
+		server_on_request_end(&s.t, a, 1000, outcome, 0);
+		EXPECT_FALSE(brittle_allows(&a->brittle, 1999, a->in_flight));
+		EXPECT_TRUE(brittle_allows(&a->brittle, 2000, a->in_flight));
+		server_on_request_start(a, 2000);
+		server_on_request_end(&s.t, a, 2000, SERVER_CALL_OK, 1);
+		EXPECT_TRUE(brittle_allows(&a->brittle, 2000, a->in_flight));
+	}
+}
+
 TEST(Brittle, ARestartAfterTheServiceHasRecoveredEndsIt)
 {
 	Servers s;
