--- a/exchange/brittle.h
+++ b/exchange/brittle.h
@@ -4,6 +4,12 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* What an answer says of being brittle; times are ms of the node's own clock. */
+struct brittle_notice {
+	double refusals_per_s; /* that the server bears; 0: not brittle */
+	uint64_t answered_at; /* of the answer that said so; 0: none */
+};
+
 /*
  * What a brittle server bears: it crashes if it has to refuse more than a few
  * requests a second for want of room. Its slots are divided between as many nodes,
@@ -11,14 +17,7 @@
  * leaves it alone until all nodes together cannot exceed the number. All servers of
  * a service are brittle at the same time, so what one says is inherited by those that
  * have not answered themselves. Only an answer ends it, not silence or a restart.
- * Times are milliseconds of the node's own clock.
  */
-struct brittle_notice {
-	double refusals_per_s; /* that the server bears; 0: not brittle */
-	uint64_t
-		answered_at; /* of the latest answer taken into account; 0: none */
-};
-
 struct brittle {
 	struct brittle_notice notice;
 	bool own; /* the answer was the server's, since its latest start */
@@ -27,8 +26,8 @@
 	uint32_t max_in_flight; /* of this node; 0: it must not send */
 	uint32_t nodes; /* that divide the slots */
 	uint64_t wait_until; /* after a refusal */
-	uint32_t abandoned; /* requests that may still run there until then */
-	uint64_t abandoned_until;
+	uint32_t abandoned; /* requests that were given up and may still run */
+	uint64_t abandoned_until; /* then they do not count any more */
 };
 
 double brittle_parse(const char *text);
--- a/fleet/findings-task.h
+++ b/fleet/findings-task.h
@@ -11,7 +11,8 @@
 
 /*
  * Tells other nodes what this one has found out about requests and servers:
- * parts of prompts that crash servers, and loads beyond which servers fail.
+ * parts of prompts that crash servers, loads beyond which servers fail, and which
+ * servers are brittle.
  */
 struct findings_task;
 
--- a/fleet/rank.h
+++ b/fleet/rank.h
@@ -7,14 +7,14 @@
 
 #include "member/member.h"
 
+#define RANK_MAX_FIRST 32 /* found by rank_find_first() */
+
 /*
  * Ranks of nodes for a role by rendezvous hashing: the node with the lowest hash
  * comes first. Nodes with different member tables may find the same rank for
  * themselves, so what a role does must be safe to do twice. Members are struct
  * member_entry, without this node; times are milliseconds of its own clock.
  */
-#define RANK_MAX_FIRST 32 /* found by rank_find_first() */
-
 struct rank_view {
 	const GArray *members;
 	const char *self; /* name of this node */
