fleet: ask the seeds at the start without making them members

By the log, the node that is started there ended its first watch of the configuration after 4 s instead of 6: pinging the seeds at the start told it of the others before its first watch, whose length depends on its rank among them. Ruled out: calls that are repeated; all are watches that ended in time.

The ping was there only so that a starting node hears soon which servers are brittle.

--- a/daemon/gateway.c
+++ b/daemon/gateway.c
@@ -666,6 +666,7 @@
 		return EXIT_FAILURE;
 	}
 	g->started_at = gateway_now(g);
+	fleet_task_ask_seeds(g->fleet);
 	start_feed(g);
 	watch_signal(g, &sigterm_handle, SIGTERM, on_stop_signal);
 	watch_signal(g, &sigint_handle, SIGINT, on_stop_signal);
--- a/fleet/fleet-task.c
+++ b/fleet/fleet-task.c
@@ -83,14 +83,45 @@
 			       g->lost_at[FEED_CONFIG] != 0);
 }
 
+/* Reads the address of a seed; returns false if it is malformed or this node's. */
+static bool parse_seed(const struct fleet_task *t, const char *text,
+		       struct member_addr *addr)
+{
+	struct sockaddr_in sa;
+
+	if (!address_parse(text, &sa, NULL))
+		return false;
+	*addr = t->self;
+	addr->ip = ntohl(sa.sin_addr.s_addr);
+	return addr->ip != t->self.ip;
+}
+
+static char **split_seeds(const struct fleet_task *t)
+{
+	const char *seeds = t->g->settings->seeds;
+
+	return g_strsplit(seeds ? seeds : "", ",", -1);
+}
+
+/* Asks the seeds, right after the start, what the node must know to serve. */
+void fleet_task_ask_seeds(struct fleet_task *t)
+{
+	g_auto(GStrv) list = split_seeds(t);
+	struct member_addr addr;
+
+	for (char **s = list; *s; s++)
+		if (parse_seed(t, *s, &addr))
+			findings_task_on_contact(t->findings, addr);
+}
+
 /*
  * Pings the seed addresses of the settings, until as many members are alive
  * as there are seeds.
  */
 static void ping_seeds(struct fleet_task *t, uint64_t now)
 {
-	const char *seeds = t->g->settings->seeds;
-	g_auto(GStrv) list = g_strsplit(seeds ? seeds : "", ",", -1);
+	g_auto(GStrv) list = split_seeds(t);
+	struct member_addr addr;
 	GArray *out;
 
 	if (now < t->next_join_at)
@@ -99,16 +130,9 @@
 	if (member_count(&t->members, MEMBER_ALIVE) >= g_strv_length(list))
 		return;
 	out = peer_task_new_datagrams();
-	for (char **s = list; *s; s++) {
-		struct sockaddr_in sa;
-		struct member_addr addr = t->self;
-
-		if (!address_parse(*s, &sa, NULL))
-			continue;
-		addr.ip = ntohl(sa.sin_addr.s_addr);
-		if (addr.ip != t->self.ip)
+	for (char **s = list; *s; s++)
+		if (parse_seed(t, *s, &addr))
 			member_ping_address(&t->members, now, addr, out);
-	}
 	send_all(t, out);
 }
 
@@ -791,7 +815,6 @@
 	member_init(&t->members, g->settings->node, t->self,
 		    (uint32_t)time(NULL), rng_next(&g->rng));
 	uv_udp_recv_start(&t->socket, on_alloc, on_receive);
-	ping_seeds(t, gateway_now(g));
 	return t;
 }
 
--- a/fleet/fleet-task.h
+++ b/fleet/fleet-task.h
@@ -22,6 +22,7 @@
 
 struct fleet_task *fleet_task_start(struct gateway_state *g, GError **err);
 const struct findings_task *fleet_task_findings(const struct fleet_task *t);
+void fleet_task_ask_seeds(struct fleet_task *t);
 void fleet_task_on_brittle(struct fleet_task *t, uint64_t now);
 void fleet_task_on_pause(struct fleet_task *t, uint64_t now);
 void fleet_task_tick(struct fleet_task *t, uint64_t now);
