fleet: let nodes have slots again 3 s after their start

By the logs all nodes refused or passed on every request and nobody sent one to a server: they had started less than 10 s before, a node had just joined, and each then went without slots for 2 s. That all were without slots is inferred from these refusals and the code; the share is not in those lines.

--- a/fleet/fleet-task.c
+++ b/fleet/fleet-task.c
@@ -33,6 +33,7 @@
 #define LOAD_FANOUT 16 /* nodes that a load message is sent to */
 #define BRITTLE_RANK_INTERVAL_MS 1000
 #define SHARE_HOLD_MS 10000 /* of a node's slots, after its death */
+#define SHARE_SETTLE_MS 3000 /* after a start or pause, without slots */
 #define EVALUATORS 2 /* nodes that get a roll-out's reports, by rank */
 
 struct fleet_task {
@@ -46,8 +47,6 @@
 	bool sent_load; /* the last load message held at least one */
 	uint64_t sent_changed[FEED_TOPIC_COUNT]; /* in that message */
 	uint32_t idle_ticks; /* since that message */
-	guint n_members; /* of the table, at the latest tick */
-	uint64_t member_added_at; /* the latest growth of that */
 	uint64_t next_brittle_at; /* ranks for brittle servers are set anew */
 	struct watch_plan watch_plan;
 	struct watch_role watch_role;
@@ -415,23 +414,11 @@
 
 /*
  * Returns whether this node knows the other nodes, and they know it, well enough to
- * have a share of the slots.
+ * have a share of the slots: some time after its start or a pause.
  */
 static bool may_share_slots(const struct fleet_task *t, uint64_t now)
 {
-	const struct rank_settling s = {
-		.started_at = MAX(t->g->started_at, t->g->resumed_at),
-		.member_added_at = t->member_added_at,
-	};
-
-	return rank_is_settled(&s, now);
-}
-
-static void note_added_members(struct fleet_task *t, uint64_t now)
-{
-	if (t->members.members->len > t->n_members)
-		t->member_added_at = now;
-	t->n_members = t->members.members->len;
+	return now - MAX(t->g->started_at, t->g->resumed_at) >= SHARE_SETTLE_MS;
 }
 
 /* Sets this node's share of the slots of each brittle server. */
@@ -510,7 +497,6 @@
 	send_limits(t, now);
 	findings_task_tick(t->findings, now);
 	divide_limits(t);
-	note_added_members(t, now);
 	divide_slots(t, now);
 	send_source_status(t, now);
 	update_watch_role(t, now);
--- a/fleet/rank.c
+++ b/fleet/rank.c
@@ -1,24 +1,9 @@
 #include "fleet/rank.h"
 
+#include <stdbool.h>
 #include <string.h>
 #include <xxhash.h>
 
-#define MIN_SETTLE_MS 3000 /* after a start, until others know the node */
-#define MAX_SETTLE_MS 10000
-#define QUIET_MS 2000 /* without a new member: the table is complete */
-
-/*
- * Returns whether a node that started some time ago, or went on after a pause, and the
- * others are likely to know each other, so that its rank is what they expect.
- */
-bool rank_is_settled(const struct rank_settling *s, uint64_t now)
-{
-	uint64_t ms = now - s->started_at;
-
-	return ms >= MAX_SETTLE_MS ||
-	       (ms >= MIN_SETTLE_MS && now - s->member_added_at >= QUIET_MS);
-}
-
 /* Returns the hash of a role, for rank_hash_node(). */
 uint64_t rank_hash_role(const char *role)
 {
--- a/fleet/rank.h
+++ b/fleet/rank.h
@@ -2,7 +2,6 @@
 #define FLEET_RANK_H
 
 #include <glib.h>
-#include <stdbool.h>
 #include <stdint.h>
 
 #include "member/member.h"
@@ -23,13 +22,6 @@
 	uint64_t hold_ms;
 };
 
-/* What shows whether a node's member table is still filling; see rank_is_settled(). */
-struct rank_settling {
-	uint64_t started_at; /* the node, or its end of a pause */
-	uint64_t member_added_at; /* latest new entry of the table */
-};
-
-bool rank_is_settled(const struct rank_settling *s, uint64_t now);
 uint64_t rank_hash_role(const char *role);
 uint64_t rank_hash_node(uint64_t role_hash, const char *node);
 uint32_t rank_of_self(const struct rank_view *v, const char *role);
