--- a/fleet/member-transfer.c
+++ b/fleet/member-transfer.c
@@ -9,8 +9,9 @@
 #define REFRESH_INTERVAL_MS 5000 /* once hardly anybody new is found */
 /* A node asks no more often in a row, even if each answer holds new members. */
 #define MAX_QUESTIONS 8
-/* An answer with at most one new member in so many ends the questions. */
+/* Answers with at most one new member in so many, in a row, end the questions. */
 #define COMPLETE_ONE_IN 20
+#define COMPLETE_ANSWERS 2 /* one may come from a node that has just started */
 #define MAX_PORT 65535
 
 /* Returns whether to ask another node for its members now. */
@@ -31,10 +32,22 @@
 void member_transfer_on_answer(struct member_transfer *t, uint64_t now,
 			       uint32_t added, uint32_t known)
 {
-	if (added <= known / COMPLETE_ONE_IN)
+	if (added > known / COMPLETE_ONE_IN) {
+		t->confirmed = 0;
+		return;
+	}
+	if (t->confirmed < COMPLETE_ANSWERS)
+		t->confirmed++;
+	if (t->confirmed >= COMPLETE_ANSWERS)
 		t->next_at = now + REFRESH_INTERVAL_MS;
 }
 
+/* Returns whether the latest answers show that nearly all members are known. */
+bool member_transfer_is_complete(const struct member_transfer *t)
+{
+	return t->confirmed >= COMPLETE_ANSWERS;
+}
+
 static const struct member_update *update_at(const struct member_table *m,
 					     guint i)
 {
--- a/fleet/member-transfer.h
+++ b/fleet/member-transfer.h
@@ -19,12 +19,14 @@
 struct member_transfer {
 	uint32_t asked;
 	uint64_t next_at; /* earliest time of the next question */
+	uint32_t confirmed; /* latest answers in a row with hardly any news */
 };
 
 bool member_transfer_is_due(const struct member_transfer *t, uint64_t now);
 void member_transfer_on_asked(struct member_transfer *t, uint64_t now);
 void member_transfer_on_answer(struct member_transfer *t, uint64_t now,
 			       uint32_t added, uint32_t known);
+bool member_transfer_is_complete(const struct member_transfer *t);
 uint64_t member_transfer_digest(const struct member_table *m);
 struct json_object *member_transfer_to_json(const struct member_table *m);
 uint32_t member_transfer_apply(struct member_table *m, uint64_t now,
--- a/fleet/state-task.c
+++ b/fleet/state-task.c
@@ -469,6 +469,12 @@
 	json_object_put(response);
 }
 
+/* Returns whether nearly all members of the fleet are known, by what others answer. */
+bool peer_state_knows_members(const struct peer_state *t)
+{
+	return member_transfer_is_complete(&t->members);
+}
+
 static const struct http_client_callbacks members_events = {
 	on_members_head, on_members_data, on_members_done};
 
--- a/fleet/state-task.h
+++ b/fleet/state-task.h
@@ -19,6 +19,7 @@
 #define PEER_MEMBERS_PATH "/peer/members"
 
 struct peer_state *peer_state_new(struct gateway_state *g);
+bool peer_state_knows_members(const struct peer_state *t);
 void peer_state_tick(struct peer_state *t, uint64_t now);
 void peer_state_request(struct peer_state *t, uint64_t now, uint32_t ip);
 void peer_state_on_newer(struct peer_state *t, uint64_t now, uint32_t ip,
--- a/member/member.c
+++ b/member/member.c
@@ -498,6 +498,7 @@
 		return head;
 	}
 	m->probe.pending = false;
+	m->heard_at = m->probe.sent_at;
 	record_probe_result(m, now, true, msg->store_unreachable);
 	if (msg->head_age_ms == MEMBER_AGE_UNKNOWN ||
 	    msg->head_age_ms > m->probe.sent_at)
--- a/member/member.h
+++ b/member/member.h
@@ -117,6 +117,7 @@
 	uint32_t next_probe; /* index into probe_order */
 	uint32_t sequence; /* last one used */
 	uint64_t next_probe_at; /* ms */
+	uint64_t heard_at; /* ms; sending of the latest acknowledged probe */
 	struct member_probe probe;
 	GArray *relays; /* struct member_relay */
 	struct member_probe_result probe_results[MEMBER_PROBE_HISTORY];
