--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,7 @@
 BUILTIN_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard builtin/*.c))
 HELPER_SRC = $(wildcard t/helper/*.c)
 HELPERS = $(HELPER_SRC:t/helper/%.c=$(BUILD)/t/%)
+PRELOADS = $(patsubst t/preload/%.c,$(BUILD)/t/%.so,$(wildcard t/preload/*.c))
 UNIT_SRC = $(wildcard t/unit/*.cc)
 UNITS = $(UNIT_SRC:t/unit/%.cc=$(BUILD)/t/unit-%)
 BENCH_SRC = $(wildcard bench/*.c)
@@ -58,7 +59,7 @@
 .PHONY: all test unit scripts demo bench slopes matrix soak fuzz check-pure \
 	format check-format lint deps clean install-deps
 
-all: $(PROGRAMS) $(HELPERS)
+all: $(PROGRAMS) $(HELPERS) $(PRELOADS)
 
 $(BUILD)/chivegwd: $(BUILD)/daemon/chivegwd.o $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
@@ -70,6 +71,10 @@
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
+$(BUILD)/t/%.so: t/preload/%.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -fPIC -shared -o $@ $< -ldl
+
 $(BUILD)/t/unit-%: $(BUILD)/t/unit/%.o $(LIB)
 	@mkdir -p $(@D)
 	$(CXX) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lrapidcheck -lgtest \
@@ -143,7 +148,7 @@
 	@t/check-pure.sh $(PURE_SRC) -- $(PURE_OBJ)
 
 FORMATTED = $(filter-out wire/peer.h wire/peer-xdr.c wire/fleet.h wire/fleet-xdr.c config/schema.c, \
-	$(wildcard *.[ch] */*.[ch] t/helper/*.[ch] t/fuzz/*.[ch]))
+	$(wildcard *.[ch] */*.[ch] t/helper/*.[ch] t/preload/*.c t/fuzz/*.[ch]))
 
 format:
 	@clang-format -i $(FORMATTED)
