fleet, member: find seeds and nodes that have started again

Cause: a starting node knows the seeds only, and stopped asking them once as many nodes were alive as there are seeds; the others had enough nodes, and never probed members that had announced that they leave.

Now all nodes ping seed addresses at which they know nobody alive, each 2 s (three datagrams a node while all seeds are down for good), and members that left are probed as dead ones are.

--- a/fleet/fleet-task.c
+++ b/fleet/fleet-task.c
@@ -24,6 +24,7 @@
 #include "wire/fleet-codec.h"
 
 #define JOIN_INTERVAL_MS 500
+#define SEED_INTERVAL_MS 2000 /* once enough nodes are known */
 /* After the start, the node makes itself known to all that it knows. */
 #define ANNOUNCE_PERIOD_MS 10000
 #define ANNOUNCE_FANOUT 24 /* nodes told in one tick */
@@ -115,8 +116,9 @@
 }
 
 /*
- * Pings the seed addresses of the settings, until as many members are alive
- * as there are seeds.
+ * Pings the seed addresses of the settings at which no node is known to be alive:
+ * often until as many members are alive as there are seeds, and seldom after that. A
+ * seed that has left and started again may know other nodes only.
  */
 static void ping_seeds(struct fleet_task *t, uint64_t now)
 {
@@ -128,10 +130,11 @@
 		return;
 	t->next_join_at = now + JOIN_INTERVAL_MS;
 	if (member_count(&t->members, MEMBER_ALIVE) >= g_strv_length(list))
-		return;
+		t->next_join_at = now + SEED_INTERVAL_MS;
 	out = peer_task_new_datagrams();
 	for (char **s = list; *s; s++)
-		if (parse_seed(t, *s, &addr))
+		if (parse_seed(t, *s, &addr) &&
+		    !member_is_alive_at(&t->members, addr))
 			member_ping_address(&t->members, now, addr, out);
 	send_all(t, out);
 }
--- a/member/member.c
+++ b/member/member.c
@@ -6,8 +6,8 @@
 
 /* Each update is sent this many times log2 of the number of members. */
 #define DISSEMINATION_FACTOR 3
-/* A dead member is probed on one in so many of its turns. */
-#define PROBE_DEAD_ONE_IN 4
+/* A dead or leaving member is probed on one in so many of its turns. */
+#define PROBE_GONE_ONE_IN 4
 
 static const char *const state_names[] = {"alive", "suspect", "leaving",
 					  "dead"};
@@ -72,6 +72,19 @@
 	return n;
 }
 
+/* Returns whether a member at the address is alive, as far as is known. */
+bool member_is_alive_at(const struct member_table *m, struct member_addr addr)
+{
+	for (uint32_t i = 0; i < m->members->len; i++) {
+		const struct member_update *u = &entry_at(m, i)->info;
+
+		if (u->state == MEMBER_ALIVE && u->addr.ip == addr.ip &&
+		    u->addr.port == addr.port)
+			return true;
+	}
+	return false;
+}
+
 /*
  * Returns how many messages carry an update: SWIM reaches all members with
  * high probability if it is a multiple of the logarithm of their number.
@@ -262,8 +275,8 @@
 }
 
 /*
- * Records the result of the current probe. A dead member that stays silent is
- * not recorded: member_estimate_peers() counts the dead from the table.
+ * Records the result of the current probe. Those of leaving members, and of dead ones
+ * that stay silent, are not recorded: member_estimate_peers() counts them from the table.
  */
 static void record_probe_result(struct member_table *m, uint64_t now,
 				bool acknowledged, bool store_unreachable)
@@ -274,7 +287,8 @@
 					.store_unreachable = store_unreachable};
 
 	r.name_hash = g_str_hash(m->probe.name);
-	if (!acknowledged && e && e->info.state == MEMBER_DEAD)
+	if (e && (e->info.state == MEMBER_LEAVING ||
+		  (!acknowledged && e->info.state == MEMBER_DEAD)))
 		return;
 	m->probe_results[m->n_probe_results++ % MEMBER_PROBE_HISTORY] = r;
 }
@@ -342,9 +356,10 @@
 
 /*
  * Returns whether the member is probed in its turn. Dead members are probed
- * too, at random with chance 1 / PROBE_DEAD_ONE_IN: after a network partition
+ * too, at random with chance 1 / PROBE_GONE_ONE_IN: after a network partition
  * both sides take each other for dead, and only a probe shows that it has
- * ended.
+ * ended. So are those that left: one that has started again may know other
+ * nodes only.
  */
 static bool should_probe(struct member_table *m, const struct member_entry *e)
 {
@@ -352,10 +367,9 @@
 	case MEMBER_ALIVE:
 	case MEMBER_SUSPECT:
 		return true;
-	case MEMBER_DEAD:
-		return rng_below(&m->rng, PROBE_DEAD_ONE_IN) == 0;
 	case MEMBER_LEAVING:
-		return false;
+	case MEMBER_DEAD:
+		return rng_below(&m->rng, PROBE_GONE_ONE_IN) == 0;
 	}
 	return false;
 }
--- a/member/member.h
+++ b/member/member.h
@@ -151,6 +151,7 @@
 void member_announce_leave(struct member_table *m, uint64_t now, GArray *out);
 struct cfg_view_peers member_estimate_peers(const struct member_table *m,
 					    uint64_t now);
+bool member_is_alive_at(const struct member_table *m, struct member_addr addr);
 uint32_t member_count(const struct member_table *m, enum member_state state);
 const char *member_state_name(enum member_state state);
 
--- a/t/unit/member_test.cc
+++ b/t/unit/member_test.cc
@@ -221,12 +221,12 @@
 		EXPECT_EQ(member_count(&f.nodes[i]->m, MEMBER_ALIVE), 7u) << i;
 }
 
-TEST(Member, LeavingNodeIsNotSuspected)
+/* A node announces that it leaves, and stops. */
+void leave(Fleet &f, size_t node)
 {
-	Fleet f(9);
-	f.run(5000);
 	GArray *out = g_array_new(FALSE, FALSE, sizeof(member_datagram));
-	member_announce_leave(&f.nodes[2]->m, f.now, out);
+
+	member_announce_leave(&f.nodes[node]->m, f.now, out);
 	for (guint i = 0; i < out->len; i++) {
 		member_datagram *o = &g_array_index(out, member_datagram, i);
 		GArray *more =
@@ -236,7 +236,51 @@
 		g_array_free(more, TRUE);
 	}
 	g_array_free(out, TRUE);
-	f.nodes[2]->dead = true;
+	f.nodes[node]->dead = true;
+}
+
+TEST(Member, ANodeThatLeftAndKnowsNobodyAfterItsRestartIsFound)
+{
+	for (uint32_t incarnation : {5u, 1u}) {
+		Fleet f(9);
+		Node &n = *f.nodes[2];
+
+		f.run(5000);
+		leave(f, 2);
+		f.run(5000);
+		member_clear(&n.m);
+		member_init(&n.m, f.name(2).c_str(), f.address(2), incarnation,
+			    77);
+		n.dead = false;
+		f.run(30000);
+		EXPECT_EQ(member_count(&n.m, MEMBER_ALIVE), 8u);
+		for (size_t i = 0; i < 9; i++)
+			EXPECT_TRUE(i == 2 ||
+				    f.state_seen_by(i, 2) == MEMBER_ALIVE)
+				<< i;
+	}
+}
+
+TEST(Member, OnlyAnAddressWithALiveMemberIsTakenForOne)
+{
+	member_table m = {};
+	const member_update left = {"b", {7, 7000}, MEMBER_LEAVING, 5};
+
+	member_init(&m, "a", {6, 7000}, 1, 1);
+	member_add(&m, 1000, "b", {7, 7000});
+	EXPECT_TRUE(member_is_alive_at(&m, {7, 7000}));
+	EXPECT_FALSE(member_is_alive_at(&m, {7, 7001}));
+	EXPECT_FALSE(member_is_alive_at(&m, {8, 7000}));
+	member_learn(&m, 1000, &left);
+	EXPECT_FALSE(member_is_alive_at(&m, {7, 7000}));
+	member_clear(&m);
+}
+
+TEST(Member, LeavingNodeIsNotSuspected)
+{
+	Fleet f(9);
+	f.run(5000);
+	leave(f, 2);
 	f.run(10000);
 	for (size_t i = 0; i < 9; i++)
 		if (i != 2) {
