http: serve the connections that wait when a listener closes

By the code, a planned stop closes the listening socket in a timer, which libuv runs before it polls: connections that clients have made since the last poll are reset by the kernel, and their requests with them. On a busy machine that is some milliseconds.

The waiting connections are accepted first now; then check_drain() waits for their requests as for others.

--- a/http/server.c
+++ b/http/server.c
@@ -3,6 +3,7 @@
 #include <http_parser.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "http/address.h"
 #include "http/socket.h"
@@ -591,14 +592,10 @@
 					   on_read) == 0;
 }
 
-static void on_accept(uv_stream_t *listener, int status)
+static struct conn *new_conn(struct http_server *http_server)
 {
-	struct http_server *http_server = listener->data;
-	struct conn *c;
+	struct conn *c = g_new0(struct conn, 1);
 
-	if (status != 0)
-		return;
-	c = g_new0(struct conn, 1);
 	c->http_server = http_server;
 	c->input = g_string_new(NULL);
 	c->output = g_string_new(NULL);
@@ -610,15 +607,45 @@
 	c->tcp.data = c;
 	c->timer.data = c;
 	g_hash_table_add(http_server->conns, c);
-	if (uv_accept(listener, (uv_stream_t *)&c->tcp) != 0) {
-		close_conn(c);
-		return;
-	}
+	return c;
+}
+
+static void begin_conn(struct conn *c)
+{
 	socket_set_options(&c->tcp, USER_TIMEOUT_MS);
-	arm_timer(c, http_server->limits.idle_ms);
+	arm_timer(c, c->http_server->limits.idle_ms);
 	start_reading(c);
 }
 
+static void on_accept(uv_stream_t *listener, int status)
+{
+	struct conn *c;
+
+	if (status != 0)
+		return;
+	c = new_conn(listener->data);
+	if (uv_accept(listener, (uv_stream_t *)&c->tcp) != 0)
+		close_conn(c);
+	else
+		begin_conn(c);
+}
+
+static void accept_waiting(struct http_server *http_server)
+{
+	int fd;
+
+	while ((fd = socket_accept_waiting(&http_server->listener)) >= 0) {
+		struct conn *c = new_conn(http_server);
+
+		if (uv_tcp_open(&c->tcp, fd) == 0) {
+			begin_conn(c);
+			continue;
+		}
+		close(fd);
+		close_conn(c);
+	}
+}
+
 static bool bind_listener(struct http_server *http_server, const char *address,
 			  GError **err)
 {
@@ -697,12 +724,16 @@
 	}
 }
 
-/* Closes the listening socket. Open connections continue. */
+/*
+ * Closes the listening socket. Open connections continue, as do those that wait to be
+ * accepted: the kernel would reset them.
+ */
 void http_server_stop_accepting(struct http_server *http_server)
 {
 	if (!http_server->accepting)
 		return;
 	http_server->accepting = false;
+	accept_waiting(http_server);
 	uv_close((uv_handle_t *)&http_server->listener, NULL);
 }
 
--- a/http/socket.c
+++ b/http/socket.c
@@ -77,3 +77,16 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms,
 		   sizeof(user_timeout_ms));
 }
+
+/*
+ * Accepts a connection that waits at a listening socket. Returns its descriptor, or -1
+ * if none waits.
+ */
+int socket_accept_waiting(const uv_tcp_t *listener)
+{
+	uv_os_fd_t fd;
+
+	if (uv_fileno((const uv_handle_t *)listener, &fd) != 0)
+		return -1;
+	return accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+}
--- a/t/unit/http_server_test.cc
+++ b/t/unit/http_server_test.cc
@@ -147,6 +147,18 @@
 }
 
 // A request that lies in the socket when a planned stop begins must be answered.
+TEST(StopAccepting, ServesConnectionsThatAreNotAcceptedYet)
+{
+	TestServer s;
+	TestClient a, b;
+	a.send_bytes(kRequest);
+	http_server_stop_accepting(s.server);
+	b.send_bytes(kRequest);
+	EXPECT_EQ(http_server_unanswered(s.server), 2u);
+	s.wait_for_requests(2);
+	EXPECT_EQ(s.requests.size(), 2u);
+}
+
 TEST(CloseIdle, ServesRequestThatIsNotReadYet)
 {
 	TestServer s;
