rollout: give a coordinator that starts again its plan back

By its logs the coordinator was replaced 0.1 s after it had moved all traffic; it came back with share 0, counted more requests at the new version than a bad one may get, and never found it safe to move all again.

A node that hears a plan with a lower share than its own now sends its plan to the nodes of the two lowest ranks, as with reverted ones; the wire stays as it is, and older builds take it up.

--- a/fleet/fleet-task.c
+++ b/fleet/fleet-task.c
@@ -234,7 +234,8 @@
 /*
  * Sends this node's counts of each open roll-out to its evaluators. The
  * coordinator, which has rank 0, sends its plan to all; any other node that has
- * reverted the roll-out sends that to the evaluators.
+ * reverted the roll-out, or whose plan the coordinator has lost, sends that to the
+ * evaluators.
  */
 static void send_shift_state(struct fleet_task *t, uint64_t now)
 {
@@ -249,7 +250,7 @@
 		send_report(t, s, now);
 		if (!fleet_task_rank(t, s->service))
 			send_plan(t, s, now, true);
-		else if (s->plan.state == SHIFT_REVERTED)
+		else if (s->plan.state == SHIFT_REVERTED || shift_is_ahead(s))
 			send_plan(t, s, now, false);
 	}
 }
--- a/rollout/shift.c
+++ b/rollout/shift.c
@@ -326,6 +326,7 @@
 {
 	struct shift_plan p = *plan;
 
+	s->heard_share = p.share;
 	if (p.age_ms > shift_age_ms(s, now))
 		s->began_at = now > p.age_ms ? now - p.age_ms : 0;
 	if (p.state == SHIFT_IN_PROGRESS)
@@ -564,6 +565,16 @@
 	return plan;
 }
 
+/*
+ * Returns whether this node's plan has a higher share than the coordinator's, which has
+ * lost its own: it has started again, or is another node that has just started.
+ */
+bool shift_is_ahead(const struct traffic_shift *s)
+{
+	return s->plan.state == SHIFT_IN_PROGRESS &&
+	       s->plan.share > s->heard_share;
+}
+
 /* Returns whether the shift is in its trial: the share is not full yet. */
 bool shift_in_trial(const struct traffic_shift *s)
 {
--- a/rollout/shift.h
+++ b/rollout/shift.h
@@ -143,6 +143,7 @@
 	struct shift_route_test tests[SHIFT_MAX_ROUTES];
 	uint32_t n_tests;
 	struct shift_plan plan; /* in force */
+	uint32_t heard_share; /* of the latest plan received */
 	uint64_t full_since; /* when the share became full; 0: not yet */
 	const char *failed_metric; /* name, if that reverted it; else NULL */
 };
@@ -161,6 +162,7 @@
 		      double load, double elapsed_ms);
 void shift_on_overdue(struct traffic_shift *s, enum shift_version version,
 		      uint64_t route);
+bool shift_is_ahead(const struct traffic_shift *s);
 bool shift_in_trial(const struct traffic_shift *s);
 bool shift_fills_servers(const struct traffic_shift *s);
 void shift_on_report(struct traffic_shift *s, uint64_t now,
--- a/t/unit/shift_test.cc
+++ b/t/unit/shift_test.cc
@@ -398,6 +398,35 @@
 	shift_free(s);
 }
 
+TEST(Shift, ACoordinatorThatStartsAgainGetsItsPlanBackFromTheOthers)
+{
+	traffic_shift *other = shift_new("s", "v2", 24000, 5000, 0);
+	traffic_shift *again = shift_new("s", "v2", 24000, 5000, 23000);
+	const shift_plan full = {22500, SHIFT_FULL_SHARE, SHIFT_IN_PROGRESS, true};
+	shift_report report = {"other", 1, 23500, {}};
+
+	shift_on_plan(other, 22500, &full);
+	EXPECT_FALSE(shift_is_ahead(other));
+	report.evidence.requests = 1000;
+	report.evidence.sent_new = 500;
+	shift_on_report(again, 23500, &report);
+	shift_plan plan = shift_update_plan(again, 23500, &kParams, 3);
+	EXPECT_LT(plan.share, (uint32_t)SHIFT_FULL_SHARE);
+	shift_on_plan(other, 23500, &plan);
+	EXPECT_TRUE(shift_is_ahead(other));
+	EXPECT_EQ(other->plan.share, (uint32_t)SHIFT_FULL_SHARE);
+
+	shift_on_plan(again, 23600, &other->plan);
+	plan = shift_update_plan(again, 23600, &kParams, 3);
+	EXPECT_EQ(plan.share, (uint32_t)SHIFT_FULL_SHARE);
+	shift_on_plan(other, 23700, &plan);
+	EXPECT_FALSE(shift_is_ahead(other));
+	shift_set_state(other, SHIFT_REVERTED);
+	EXPECT_FALSE(shift_is_ahead(other));
+	shift_free(other);
+	shift_free(again);
+}
+
 TEST(Shift, LateNodeLearnsAgeFromPlan)
 {
 	traffic_shift *s = shift_new("s", "v2", 24000, 5000, 50000);
