--- a/t/unit/member_transfer_test.cc
+++ b/t/unit/member_transfer_test.cc
@@ -115,6 +115,18 @@
 	member_clear(&to);
 }
 
+TEST(MemberTransfer, WhatALaterBuildAppendsIsIgnored)
+{
+	member_table m = table_of("me", 1);
+	json_object *list = json_tokener_parse(
+		"[[\"a\",5,1,3,\"x\",2,{\"later\":1},7]]");
+
+	EXPECT_EQ(member_transfer_apply(&m, 1000, list), 1u);
+	EXPECT_EQ(g_array_index(m.members, member_entry, 0).build.protocol, 2u);
+	json_object_put(list);
+	member_clear(&m);
+}
+
 TEST(MemberTransfer, MalformedBuildsAreNotTakenUp)
 {
 	const char *tails[] = {"\"x\"", "\"x\",0", "\"x\",\"1\"", "7,1",
