--- a/t/t0036-upgrade.sh
+++ b/t/t0036-upgrade.sh
@@ -252,11 +252,13 @@
 sleep 2
 
 say "to the new build, while a good version rolls out"
-for b in $GOOD_BACKENDS; do start_server "$b" v2; done
+# The order comes first: without one, all versions are used.
 start_rollout v2
+for b in $GOOD_BACKENDS; do start_server "$b" v2; done
 change_build "$OLD" "$NEW" refuse
 until_true "$ROLLOUT_S" is_rollout completed || fail "the roll-out of the good version is $(rollout_state)"
 for b in $BACKENDS; do delete_object "servers/i-$b"; done
+sleep "$DRAIN_S"
 delete_object rollouts/desk
 READY=$GOOD_BACKENDS SERVED=v2
 sleep "$STABLE_S"
@@ -265,10 +267,10 @@
 for n in $NODES; do until_true "$BUILDS_S" runs_one_build "$n" || fail "route$n does not know that all run one build"; done
 
 say "back to the earlier build, while a bad version rolls out"
-start_server "$BAD_BACKEND" v3
-curl -fs -m 2 -o /dev/null "http://$(backend_address "$BAD_BACKEND")/control/fail"
 sent_before=$(cat "$WORK"/client*.log "$WORK"/kept*.log | wc -l)
 start_rollout v3
+start_server "$BAD_BACKEND" v3
+curl -fs -m 2 -o /dev/null "http://$(backend_address "$BAD_BACKEND")/control/fail"
 change_build "$NEW" "$OLD" refuse-new
 until_true "$ROLLOUT_S" is_rollout reverted || fail "the roll-out of the bad version is $(rollout_state)"
 exposed=$(arrivals_at "$BAD_BACKEND")
@@ -301,7 +303,7 @@
 for b in $GOOD_BACKENDS; do curl -fs -m 5 "http://$(backend_address "$b")/ran" | sed 's/ .*/ v2/'; done >>"$WORK/versions"
 curl -fs -m 5 "http://$(backend_address "$BAD_BACKEND")/ran" | sed 's/ .*/ v3/' >>"$WORK/versions"
 awk -v disturbed=' 1 2 4 5 ' -v session_ms="$SESSION_MS" -v half_ms="$((ROLLOUT_S * 500))" '
-	FILENAME ~ /versions$/ {v[$1] = $1 in v && v[$1] != $2 ? "several" : $2; next}
+	FILENAME ~ /versions$/ {if (!($1 in v)) v[$1] = $2; else if (v[$1] != $2) v[$1] = "several"; next}
 	FILENAME ~ /rollouts$/ {since[$2] = $1; next}
 	index(disturbed, " " $6 " ") || !($3 in v) || v[$3] == "several" {next}
 	last[$6] && v[$3] != last[$6] && $1 - at[$6] < session_ms {
