fleet: keep the members complete when others join, check build ids

Completeness is kept now. The unit test fails without it.

Ids of builds from peers go into logs and metrics as they are, so only those of lower-case letters, digits, dots and dashes are taken up.

--- a/daemon/version.h
+++ b/daemon/version.h
@@ -5,7 +5,7 @@
 
 /*
  * Raised with each change to what nodes say to each other that works only if all of
- * them know it; see docs/design/0016-builds-side-by-side.md.
+ * them know it; see docs/design/0016-messages-between-nodes.md.
  */
 #define CHIVEGW_PROTOCOL 1
 
--- a/fleet/fleet-task.c
+++ b/fleet/fleet-task.c
@@ -6,8 +6,8 @@
 #include <uv.h>
 
 #include "daemon/gateway.h"
-#include "exchange/peer-limits.h"
 #include "daemon/version.h"
+#include "exchange/peer-limits.h"
 #include "fleet/builds.h"
 #include "fleet/findings-task.h"
 #include "fleet/member-transfer.h"
--- a/fleet/member-transfer.c
+++ b/fleet/member-transfer.c
@@ -38,14 +38,19 @@
 	}
 	if (t->confirmed < COMPLETE_ANSWERS)
 		t->confirmed++;
-	if (t->confirmed >= COMPLETE_ANSWERS)
-		t->next_at = now + REFRESH_INTERVAL_MS;
+	if (t->confirmed < COMPLETE_ANSWERS)
+		return;
+	t->next_at = now + REFRESH_INTERVAL_MS;
+	t->complete = true;
 }
 
-/* Returns whether the latest answers show that nearly all members are known. */
+/*
+ * Returns whether answers have shown, at any time since the start, that nearly all
+ * members are known. Nodes that join later don't change that.
+ */
 bool member_transfer_is_complete(const struct member_transfer *t)
 {
-	return t->confirmed >= COMPLETE_ANSWERS;
+	return t->complete;
 }
 
 static const struct member_build *build_at(const struct member_table *m,
@@ -75,7 +80,6 @@
 
 	for (guint i = 0; i <= m->members->len; i++) {
 		const struct member_update *u = update_at(m, i);
-
 		const struct member_build *b = build_at(m, i);
 
 		if (u->state != MEMBER_ALIVE)
@@ -160,6 +164,14 @@
 	return true;
 }
 
+/* Returns whether a build's id can be shown in logs and metrics as it is. */
+static bool is_build_id(const char *id)
+{
+	size_t len = strspn(id, "0123456789abcdefghijklmnopqrstuvwxyz.-");
+
+	return len && !id[len] && len < MEMBER_BUILD_BYTES;
+}
+
 /* Returns false if the member has not told its build. */
 static bool parse_build(struct json_object *o, struct member_build *b)
 {
@@ -167,9 +179,8 @@
 	int64_t protocol = number_at(o, 5);
 
 	if (!json_object_is_type(id, json_type_string) ||
-	    !json_object_get_string_len(id) ||
-	    json_object_get_string_len(id) >= (int)sizeof(b->id) ||
-	    protocol <= 0 || protocol > UINT32_MAX)
+	    !is_build_id(json_object_get_string(id)) || protocol <= 0 ||
+	    protocol > UINT32_MAX)
 		return false;
 	memset(b, 0, sizeof(*b));
 	g_strlcpy(b->id, json_object_get_string(id), sizeof(b->id));
--- a/fleet/member-transfer.h
+++ b/fleet/member-transfer.h
@@ -20,6 +20,7 @@
 	uint32_t asked;
 	uint64_t next_at; /* earliest time of the next question */
 	uint32_t confirmed; /* latest answers in a row with hardly any news */
+	bool complete; /* these were enough once */
 };
 
 bool member_transfer_is_due(const struct member_transfer *t, uint64_t now);
--- a/member/member.h
+++ b/member/member.h
@@ -76,7 +76,7 @@
 /* The program that a member runs, as it has told the others. */
 struct member_build {
 	char id[MEMBER_BUILD_BYTES]; /* "": not told */
-	uint32_t protocol; /* 0: not told; see docs/design/0016 */
+	uint32_t protocol; /* 0: not told; see daemon/version.h */
 };
 
 struct member_entry {
--- a/t/unit/member_transfer_test.cc
+++ b/t/unit/member_transfer_test.cc
@@ -130,7 +130,8 @@
 TEST(MemberTransfer, MalformedBuildsAreNotTakenUp)
 {
 	const char *tails[] = {"\"x\"", "\"x\",0", "\"x\",\"1\"", "7,1",
-			       "\"\",1", "\"0123456789abcdef\",1"};
+			       "\"\",1", "\"0123456789abcdef\",1",
+			       "\"a b\",1", "\"a\\\"\",1"};
 
 	for (const char *tail : tails) {
 		member_table m = table_of("me", 1);
@@ -189,6 +190,9 @@
 	}
 	EXPECT_TRUE(member_transfer_is_complete(&t));
 	EXPECT_FALSE(member_transfer_is_due(&t, 2200));
+	/* Nodes that join later take nothing from those that know the fleet. */
+	member_transfer_on_answer(&t, 6900, 50, 150);
+	EXPECT_TRUE(member_transfer_is_complete(&t));
 }
 
 TEST(MemberTransfer, AStartingNodeMakesItselfKnownToAllOnce)
