--- a/t/run-tests.sh
+++ b/t/run-tests.sh
@@ -39,7 +39,7 @@
 	else
 		failed=$((failed + 1))
 		echo "FAILED  $name (exit code $code)"
-		grep -a -m 5 '^FAIL' "$logs/$name.log"
+		grep -aE -m 5 '^(FAIL|SURVIVED)' "$logs/$name.log"
 		tail -n 60 "$logs/$name.log"
 	fi
 done
