--- a/review/lib.sh
+++ b/review/lib.sh
@@ -33,6 +33,7 @@
 ID_FIELD=X-Chivegw-Request-Id
 SEAL_FIELD=X-Chivegw-Server-Seal
 MODEL_FIELD=X-Chivegw-Model
+INSTANCE_FIELD=X-Chivegw-Instance-Id
 RECORD=$CASE/record.txt
 RUNS=$WORK/runs.txt
 : >"$RECORD"
@@ -45,7 +46,7 @@
 start_server() {
 	local address
 	address=$(backend_address "$1")
-	run "server$1" "$BUILD/review/server" "${address%:*}" "${address#*:}" "i-$1" "$ID_FIELD" "$SEAL_FIELD" "$RUNS" ${3:+"$MODEL_FIELD" "$3"}
+	run "server$1" "$BUILD/review/server" "${address%:*}" "${address#*:}" "i-$1" "$ID_FIELD" "$SEAL_FIELD" "$RUNS" ${3:+"$MODEL_FIELD" "$3" "$INSTANCE_FIELD"}
 	until_true 10 bash -c "exec 3<>/dev/tcp/127.0.0.1/${address#*:}" || fail "server$1 did not start"
 	put_server "$1" "$2" v1 ready
 }
--- a/review/server.c
+++ b/review/server.c
@@ -9,15 +9,16 @@
  *                  events
  *   open-MS-mute   the same, but nothing more comes after RESET_AFTER events
  *
- *   server IP PORT INSTANCE ID_FIELD SEAL_FIELD LOG [MODEL_FIELD MODELS]
+ *   server IP PORT INSTANCE ID_FIELD SEAL_FIELD LOG [MODEL_FIELD MODELS
+ *     INSTANCE_FIELD]
  *
  * ID_FIELD names the header field with the request's id, which is echoed,
  * SEAL_FIELD the one by which the server signs its answers. With MODELS, a list
  * "NAME,NAME", requests whose MODEL_FIELD names no model of it are rejected by
- * 421, whatever their path; their line in LOG has "rejects". After SIGTERM all
- * answers say that the server leaves; it serves on until it is killed. LOG gets a
- * line when a run begins and one when it ends: ms of the steady clock, instance,
- * event, id, path.
+ * 421, whatever their path, with its own instance in INSTANCE_FIELD; their line in
+ * LOG has "rejects". After SIGTERM all answers say that the server leaves; it
+ * serves on until it is killed. LOG gets a line when a run begins and one when it
+ * ends: ms of the steady clock, instance, event, id, path.
  */
 #include <arpa/inet.h>
 #include <pthread.h>
@@ -39,7 +40,7 @@
 #define BACKLOG 64
 
 static const char *instance, *id_field, *seal_field;
-static const char *model_field, *models; /* NULL: any model */
+static const char *model_field, *models, *instance_field; /* NULL: any model */
 static FILE *record;
 static volatile sig_atomic_t leaving;
 
@@ -180,11 +181,11 @@
 
 	if (!has_model(r)) {
 		note("rejects", r);
-		return send_text(
-			fd,
-			"HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\n"
-			"Content-Length: 0\r\n\r\n",
-			id_field, r->id);
+		return send_text(fd,
+				 "HTTP/1.1 421 Misdirected Request\r\n%s: "
+				 "%s\r\n%s: %s\r\n"
+				 "Content-Length: 0\r\n\r\n",
+				 id_field, r->id, instance_field, instance);
 	}
 	note("runs", r);
 	if (!strncmp(mode, "/stream-", strlen("/stream-"))) {
@@ -271,7 +272,7 @@
 	int listener = socket(AF_INET, SOCK_STREAM, 0);
 	const int on = 1;
 
-	if ((argc != 7 && argc != 9) ||
+	if ((argc != 7 && argc != 10) ||
 	    inet_pton(AF_INET, argv[1], &sa.sin_addr) != 1) {
 		fprintf(stderr, "usage: server IP PORT INSTANCE ID_FIELD "
 				"SEAL_FIELD LOG [MODEL_FIELD MODELS]\n");
@@ -284,9 +285,10 @@
 	id_field = argv[4];
 	seal_field = argv[5];
 	record = fopen(argv[6], "a");
-	if (argc == 9) {
+	if (argc == 10) {
 		model_field = argv[7];
 		models = argv[8];
+		instance_field = argv[9];
 	}
 	setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
 	if (!record || bind(listener, (struct sockaddr *)&sa, sizeof(sa)) ||
