review: exit with 2 from scripts that could not run

Cause: bash ends a script by 1 when a variable is unset, which would read as a broken rule. Change: scripts exit with 2 until they have come to a verdict; the platform's loop of case 3 ends before its verdict.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -25,4 +25,4 @@
 record "runs at the server:"
 tee -a "$RECORD" <"$RUNS"
 record "$broken of $STREAMS streams ended as complete before their last event"
-[ "$broken" = 0 ]
+verdict "$broken"
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -28,7 +28,7 @@
 ingress() {
 	local n used
 	declare -A misses=()
-	while :; do
+	while [ ! -e "$WORK/over" ]; do
 		used=""
 		for n in $NODES; do
 			if curl -fs -m 0.9 -o /dev/null "http://$(ready_address "$n")/readyz"; then
@@ -73,6 +73,9 @@
 	sleep "$INTERVAL_S"
 done
 wait "${clients[@]}"
+touch "$WORK/over"
+wait "${PIDS[ingress]}"
+unset "PIDS[ingress]"
 
 broken=0
 answered=0
@@ -109,5 +112,5 @@
 record "runs at the servers:"
 sort -n "$RUNS" >>"$RECORD"
 record "$answered of $count orders were answered; $broken ran, and their connections were closed without an answer"
-[ "${TROUBLE:-1}" = 1 ] || [ "$answered" = "$count" ] || exit 1
-[ "$broken" = 0 ]
+[ "${TROUBLE:-1}" = 1 ] || [ "$answered" = "$count" ] || verdict 1
+verdict "$broken"
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -36,4 +36,4 @@
 record "runs at the servers:"
 sort -n "$RUNS" | tee -a "$RECORD"
 record "$broken of $STREAMS streams ended as complete before their last event"
-[ "$broken" = 0 ]
+verdict "$broken"
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -21,11 +21,21 @@
 . t/lib.sh
 . t/lib-routes.sh
 
+VERDICT=2 # what the script exits with: the case could not run
+trap 'stop_all; exit "$VERDICT"' EXIT
+
 fail() {
 	say "the case could not run: $*"
 	tail -n 15 "$WORK"/*.log
-	exit 2
+	exit
+}
+
+# verdict COUNT: ends the script; the rule was broken so often.
+verdict() {
+	VERDICT=$(($1 > 0))
+	exit
 }
+
 for program in chivegwd t/objects review/client review/server; do
 	[ -x "$BUILD/$program" ] || fail "$BUILD/$program is missing; run review/build.sh"
 done
