--- a/review/lib.sh
+++ b/review/lib.sh
@@ -52,11 +52,12 @@
 record() { say "$*" | tee -a "$RECORD"; }
 now_ms() { echo $(($(sed 's/\([0-9]*\)\.\([0-9]*\) .*/\1\20/' /proc/uptime))); }
 
-# start_server N SERVICE [MODELS]: starts a server and registers it as ready.
+# start_server N SERVICE [MODELS]: starts a server and registers it as ready. With
+# OPEN_ONE_IN each so many of its streams has neither a length nor chunks.
 start_server() {
 	local address
 	address=$(backend_address "$1")
-	run "server$1" "$BUILD/review/server" "${address%:*}" "${address#*:}" "i-$1" "$ID_FIELD" "$SEAL_FIELD" "$RUNS" ${3:+"$MODEL_FIELD" "$3" "$INSTANCE_FIELD"}
+	OPEN_ONE_IN=${OPEN_ONE_IN:-0} run "server$1" "$BUILD/review/server" "${address%:*}" "${address#*:}" "i-$1" "$ID_FIELD" "$SEAL_FIELD" "$RUNS" ${3:+"$MODEL_FIELD" "$3" "$INSTANCE_FIELD"}
 	until_true 10 bash -c "exec 3<>/dev/tcp/127.0.0.1/${address#*:}" || fail "server$1 did not start"
 	put_server "$1" "$2" v1 ready
 }
@@ -108,11 +109,24 @@
 		"$BUILD/review/client" "${address%:*}" "${address#*:}" "$2" >"$WORK/$3.answer" 2>"$WORK/$3.end"
 }
 
+# ask_many NODE FROM TO PATH: sends the streams s-FROM to s-TO at the same time; their
+# clients are added to `clients`.
+ask_many() {
+	local address n
+	address=$(client_address "$1")
+	for ((n = $2; n <= $3; n++)); do
+		request_head POST "$4" "s-$n" 8000 question >"$WORK/s-$n.request"
+		"$BUILD/review/client" "${address%:*}" "${address#*:}" 15000 \
+			<"$WORK/s-$n.request" >"$WORK/s-$n.answer" 2>"$WORK/s-$n.end" &
+		clients+=($!)
+	done
+}
+
 # put_config ROUTES [VERSION [SERVICES]]: writes a configuration with these routes,
 # as JSON, and the service "desk" or those given.
 put_config() {
 	put_object config/main "{\"spec\":{\"version\":${2:-3},\"routes\":[$1],
-	\"services\":[${3:-{\"name\":\"desk\",\"max_conns\":100\}}],
+	\"services\":[${3:-{\"name\":\"desk\",\"max_conns\":370\}}],
 	\"limits\":{\"max_header_bytes\":8192,\"max_body_bytes\":65536,\"header_timeout_ms\":5000,\"idle_timeout_ms\":10000},
 	\"tenants\":[{\"name\":\"one\",\"api_keys\":[\"$ROUTE_KEY\"]}]}}"
 }
--- a/review/server.c
+++ b/review/server.c
@@ -5,9 +5,9 @@
  *   plain-MS       a whole answer after MS ms
  *   stream-MS      EVENTS events in chunks, MS ms between them
  *   open-MS        the same without a length, ended by closing the connection
- *   open-MS-reset  the same, but the connection is reset after RESET_AFTER
- *                  events
- *   open-MS-mute   the same, but nothing more comes after RESET_AFTER events
+ *
+ * With the variable OPEN_ONE_IN = N in its environment, each Nth stream-MS is sent as
+ * open-MS. SIGUSR1 makes it crash: it resets all connections and exits.
  *
  *   server IP PORT INSTANCE ID_FIELD SEAL_FIELD LOG [MODEL_FIELD MODELS
  *     INSTANCE_FIELD]
@@ -23,6 +23,7 @@
 #include <arpa/inet.h>
 #include <pthread.h>
 #include <signal.h>
+#include <stdatomic.h>
 #include <stdarg.h>
 #include <stdbool.h>
 #include <stdio.h>
@@ -34,16 +35,28 @@
 #include <unistd.h>
 
 #define EVENTS 8
-#define RESET_AFTER 3
 #define HEAD_BYTES 65536
 #define TEXT_BYTES 1024
-#define BACKLOG 64
+#define BACKLOG 256
+#define MAX_FDS 1024
 
 static const char *instance, *id_field, *seal_field;
 static const char *model_field, *models, *instance_field; /* NULL: any model */
 static FILE *record;
 static volatile sig_atomic_t leaving;
 
+static int open_one_in; /* 0: none */
+
+static void on_crash(int number)
+{
+	const struct linger l = {.l_onoff = 1, .l_linger = 0};
+
+	(void)number;
+	for (int fd = 3; fd < MAX_FDS; fd++)
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &l, sizeof(l));
+	_exit(0);
+}
+
 static void on_term(int number)
 {
 	(void)number;
@@ -94,15 +107,6 @@
 	return send(fd, text, (size_t)n, MSG_NOSIGNAL) == n;
 }
 
-/* Closes the connection by a reset. */
-static void reset(int fd)
-{
-	const struct linger l = {.l_onoff = 1, .l_linger = 0};
-
-	setsockopt(fd, SOL_SOCKET, SO_LINGER, &l, sizeof(l));
-	close(fd);
-}
-
 /* Copies the value of a header field to `out`, or "-" if there is none. */
 static void copy_field(const char *head, const char *name, char *out)
 {
@@ -123,11 +127,11 @@
 }
 
 /* Sends the events of a stream; returns false if the connection has ended. */
-static bool send_events(int fd, long ms, bool framed, int count)
+static bool send_events(int fd, long ms, bool framed)
 {
 	char event[TEXT_BYTES];
 
-	for (int i = 1; i <= count; i++) {
+	for (int i = 1; i <= EVENTS; i++) {
 		int n = snprintf(event, sizeof(event),
 				 "id: %d\ndata: piece %d of %d\n\n", i, i,
 				 EVENTS);
@@ -156,6 +160,14 @@
 		  framing);
 }
 
+/* Returns whether the next stream is one of those without a length. */
+static bool is_turn_to_open(void)
+{
+	static atomic_int streams;
+
+	return open_one_in && ++streams % open_one_in == 0;
+}
+
 /* Returns whether the request names a model that the server has. */
 static bool has_model(const struct request *r)
 {
@@ -176,7 +188,6 @@
 {
 	const char *mode = strrchr(r->path, '/');
 	long ms = strchr(mode, '-') ? atol(strchr(mode, '-') + 1) : 0;
-	bool ends_early = strstr(mode, "-reset") || strstr(mode, "-mute");
 	bool sent;
 
 	if (!has_model(r)) {
@@ -188,26 +199,19 @@
 				 id_field, r->id, instance_field, instance);
 	}
 	note("runs", r);
-	if (!strncmp(mode, "/stream-", strlen("/stream-"))) {
+	if (!strncmp(mode, "/stream-", strlen("/stream-")) &&
+	    !is_turn_to_open()) {
 		send_head(fd, r, "Transfer-Encoding: chunked\r\n");
-		sent = send_events(fd, ms, true, EVENTS) &&
-		       send_text(fd, "0\r\n\r\n");
+		sent = send_events(fd, ms, true) && send_text(fd, "0\r\n\r\n");
 		note(sent ? "ended" : "cut", r);
 		return sent;
 	}
-	if (!strncmp(mode, "/open-", strlen("/open-"))) {
+	if (strncmp(mode, "/plain-", strlen("/plain-")) != 0) {
+		note("sends-no-length", r);
 		send_head(fd, r, "");
-		sent = send_events(fd, ms, false,
-				   ends_early ? RESET_AFTER : EVENTS);
+		sent = send_events(fd, ms, false);
 		note(sent ? "ended" : "cut", r);
-		if (strstr(mode, "-mute"))
-			sleep_ms(60000);
-		if (ends_early)
-			sleep_ms(ms);
-		if (strstr(mode, "-reset"))
-			reset(fd);
-		else
-			close(fd);
+		close(fd);
 		return false;
 	}
 	sleep_ms(ms);
@@ -280,6 +284,9 @@
 	}
 	signal(SIGPIPE, SIG_IGN);
 	signal(SIGTERM, on_term);
+	signal(SIGUSR1, on_crash);
+	if (getenv("OPEN_ONE_IN"))
+		open_one_in = atoi(getenv("OPEN_ONE_IN"));
 	sa.sin_port = htons((uint16_t)atoi(argv[2]));
 	instance = argv[3];
 	id_field = argv[4];
