--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Two of the three nodes of a zone get SIGTERM at once, as in a change of the
-# program in pairs. Fewer than half are in rotation then, so the platform goes on
-# to give new connections to all three. Orders that take WORK_MS at their server,
+# Two of the three nodes of a zone get SIGTERM, one a second after the other. Fewer than half are in rotation then, so the platform goes on to
+# give new connections to all three. Each stopping node has a stream at work, which
+# ends in time. Orders that take WORK_MS at their server,
 # a fraction of their route's time, must not be cut off by the stop. TROUBLE=0: no
 # SIGTERM.
 set -u
@@ -15,12 +15,13 @@
 TIMEOUT_MS=5000
 GRACE_MS=8000
 STOP_AT_MS=2000
-PLAY_MS=11500
+GAP_MS=1000 # between two SIGTERMs
+PLAY_MS=12500
 INTERVAL_S=0.15
 
 start_objects
 for n in 1 2; do start_server "$n" desk; done
-put_config "{\"name\":\"order\",\"host\":\"$HOST\",\"path_prefix\":\"/order/\",\"kind\":\"non_idempotent\",\"timeout_ms\":$TIMEOUT_MS,\"goal_ms\":2000,\"priority\":1,\"attempts\":1,\"service\":\"desk\"}"
+put_config "{\"name\":\"order\",\"host\":\"$HOST\",\"path_prefix\":\"/order/\",\"kind\":\"non_idempotent\",\"timeout_ms\":$TIMEOUT_MS,\"goal_ms\":2000,\"priority\":1,\"attempts\":1,\"service\":\"desk\"},{\"name\":\"talk\",\"host\":\"$HOST\",\"path_prefix\":\"/talk/\",\"kind\":\"streaming\",\"timeout_ms\":15000,\"goal_ms\":2000,\"gap_aim_ms\":1000,\"priority\":1,\"attempts\":1,\"service\":\"desk\"}"
 for n in $NODES; do start_gateway "$n"; done
 
 # The platform: asks each node once a second whether it is ready. Two misses take a
@@ -49,19 +50,26 @@
 sleep 0.5
 
 start=$(now_ms)
-stopped_at=0
+declare -A stopped_at=([1]=0 [2]=0 [3]=0)
 count=0
 clients=()
 : >"$WORK/sent"
 while [ $(($(now_ms) - start)) -lt "$PLAY_MS" ]; do
-	if [ "${TROUBLE:-1}" = 1 ] && [ "$stopped_at" = 0 ] && [ $(($(now_ms) - start)) -ge "$STOP_AT_MS" ]; then
-		for n in $STOPPED; do kill -TERM "${PIDS[node$n]}"; done
-		stopped_at=$(now_ms)
-	fi
+	at=$STOP_AT_MS
+	for n in $STOPPED; do
+		if [ "${TROUBLE:-1}" = 1 ] && [ "${stopped_at[$n]}" = 0 ] && [ $(($(now_ms) - start)) -ge "$at" ]; then
+			ask "$n" 12000 "t-$n" POST /talk/stream-950 10000 question &
+			clients+=($!)
+			sleep 0.1
+			kill -TERM "${PIDS[node$n]}"
+			stopped_at[$n]=$(now_ms)
+		fi
+		at=$((at + GAP_MS))
+	done
 	# The platform starts a process that has ended again.
 	for n in $STOPPED; do
 		kill -0 "${PIDS[node$n]}" 2>/dev/null && continue
-		record "node$n ended $(($(now_ms) - stopped_at)) ms after its SIGTERM and is started again"
+		record "node$n ended $(($(now_ms) - ${stopped_at[$n]})) ms after its SIGTERM and is started again"
 		run "node$n" "$BUILD/chivegwd" --settings "$WORK/node$n.jsonc"
 	done
 	read -ra used <"$WORK/used"
@@ -77,11 +85,14 @@
 wait "${PIDS[ingress]}"
 unset "PIDS[ingress]"
 
+for n in $STOPPED; do
+	[ "${TROUBLE:-1}" = 0 ] || record "stream t-$n at node$n: $(grep -c '^id: ' "$WORK/t-$n.answer") of 8 events, $(cat "$WORK/t-$n.end")"
+done
 broken=0
 answered=0
 while read -r id n sent; do
 	since=-
-	[ "$stopped_at" = 0 ] || since=$((sent - stopped_at))
+	[ "${stopped_at[$n]}" = 0 ] || since=$((sent - ${stopped_at[$n]}))
 	ran=no
 	grep -q " runs $id " "$RUNS" && ran=yes
 	took=$(sed 's/.*ms=//' "$WORK/$id.end")
