exchange, http: log how an answer's end was stated and seen

By E700 and E701 a server that resets such an answer, one whose process is killed (the kernel ends its connections in order), a helping node that is killed and a stream that is whole look the same: "answered", or "broken" with end=broken. The users' ORDER record has the same gap: it says "to the close", and neither who ended first nor how.

Change: E700 and E701 name the framing of the server's answer (length, chunks, close) and how the server closed the connection (fin, reset, no); E700 also the framing of the answer to the client. http_client_head has the framing in place of a flag, and the server keeps one in place of two. No decision changes. A buffered answer's E700 is now logged after its head is made, so that it can name the framing; the order of the lines of one request is unchanged.

--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -87,7 +87,8 @@
 		  "version=%s session=%016" G_GINT64_MODIFIER
 		  "x status=%d outcome=%s attempts=%u verdict=%s first_ms=%.0f "
 		  "ms=%" G_GUINT64_FORMAT " events=%" G_GUINT64_FORMAT
-		  " config=%" G_GUINT64_FORMAT " servers=%" G_GUINT64_FORMAT "",
+		  " config=%" G_GUINT64_FORMAT " servers=%" G_GUINT64_FORMAT
+		  " framing=%s closed=%s client_framing=%s",
 		  x->id, x->route->name, route_kind_name(x->route->kind),
 		  x->org ? x->org : "-", x->service,
 		  x->first_server ? x->first_server : "-",
@@ -96,7 +97,10 @@
 		  status, outcome, x->retry.sent,
 		  verdict_name(x->retry.verdict), x->first_event_ms,
 		  now - x->started_at, x->events.count, x->routes->revision,
-		  x->g->complete_revision[FEED_SERVERS]);
+		  x->g->complete_revision[FEED_SERVERS],
+		  http_client_framing_name(x->framing),
+		  http_client_close_name(x->closed),
+		  x->req ? http_server_framing_name(x->req) : "-");
 }
 
 /* Returns when the client of a refused request should ask again, in ms. */
@@ -162,7 +166,6 @@
 				 const struct http_message_fields *head,
 				 const GString *body, bool unframed)
 {
-	log_request_end(x, status, status < 400 ? "answered" : "server-failed");
 	counter_add(&x->g->counter_set, COUNTER_ANSWERED, 1);
 	if (x->req) {
 		copy_answer_headers(x, head);
@@ -170,6 +173,7 @@
 			http_server_send_unframed(x->req);
 		http_server_reply(x->req, status, NULL, body->str, body->len);
 	}
+	log_request_end(x, status, status < 400 ? "answered" : "server-failed");
 	finish_request(x);
 }
 
@@ -483,14 +487,16 @@
 		  "status=%d "
 		  "ms=%" G_GUINT64_FORMAT " last_event=%" G_GUINT64_FORMAT
 		  " next=%s load=%.0f fingerprint=%016" G_GINT64_MODIFIER
-		  "x parts=%s",
+		  "x parts=%s framing=%s closed=%s",
 		  x->id, x->server->id, x->server->address, x->retry.sent,
 		  retry_result_name(x->answer.result),
 		  http_client_outcome_name(end), x->answer.status,
 		  gateway_now(x->g) - x->attempt_at, x->events.last_id,
 		  retry_step_name(step),
 		  server_load(x->server, gateway_now(x->g)),
-		  x->crash_keys[x->n_crash_keys - 1], parts);
+		  x->crash_keys[x->n_crash_keys - 1], parts,
+		  http_client_framing_name(x->framing),
+		  http_client_close_name(x->closed));
 }
 
 /* Decides on the next step after an attempt and takes it. */
@@ -558,6 +564,7 @@
 {
 	struct exchange_request *x = user;
 
+	x->closed = http_client_closed_by_server(x->call);
 	x->call = NULL;
 	retry_on_end(&x->answer, end == HTTP_CLIENT_COMPLETE,
 		     end == HTTP_CLIENT_NOT_SENT,
@@ -772,7 +779,8 @@
 		http_client_cancel(x->call);
 		return;
 	}
-	x->unframed = !head->framed;
+	x->framing = head->framing;
+	x->unframed = head->framing == HTTP_CLIENT_FRAMING_CLOSE;
 	x->streamed = head->status == 200 && type &&
 		      g_str_has_prefix(type, "text/event-stream");
 	if (x->streamed && escalate_to_larger_model(x, head->fields)) {
@@ -1000,6 +1008,8 @@
 	g_string_truncate(x->body, 0);
 	event_stream_restart(&x->events);
 	x->streamed = false;
+	x->framing = HTTP_CLIENT_FRAMING_NONE;
+	x->closed = HTTP_CLIENT_CLOSE_NONE;
 	x->stream_status = EVENT_STREAM_OK;
 	x->head_ms = 0;
 	x->attempt_events = 0;
--- a/exchange/exchange.h
+++ b/exchange/exchange.h
@@ -50,6 +50,8 @@
 	bool by_server; /* a server gave the answer, not a helper of its own */
 	bool streamed; /* the answer is an event stream */
 	bool unframed; /* the answer ends with its connection */
+	enum http_client_framing framing; /* of the answer */
+	enum http_client_close closed; /* by the server */
 	enum event_stream_status stream_status;
 	double head_ms; /* from the attempt's start to the answer's head */
 	bool rollout_active; /* a roll-out of the service is known */
--- a/http/client.c
+++ b/http/client.c
@@ -86,6 +86,7 @@
 	size_t bytes_before_head;
 	bool ended;
 	enum http_client_outcome outcome;
+	enum http_client_close close; /* of the connection, by the server */
 };
 
 /* Returns the outcome's name as it appears in logs; a static string. */
@@ -97,6 +98,29 @@
 	return names[outcome];
 }
 
+/* Returns the name of a framing as it appears in logs; a static string. */
+const char *http_client_framing_name(enum http_client_framing framing)
+{
+	static const char *const names[] = {"-", "length", "chunks", "close"};
+
+	return names[framing];
+}
+
+/* Returns the name of a connection's end as logs show it; a static string. */
+const char *http_client_close_name(enum http_client_close close)
+{
+	static const char *const names[] = {"no", "fin", "reset"};
+
+	return names[close];
+}
+
+/* Returns how the server has closed the call's connection; for `done`. */
+enum http_client_close
+http_client_closed_by_server(const struct http_client_call *call)
+{
+	return call->close;
+}
+
 /* Returns a new client that runs on the loop. It is never freed. */
 struct http_client *http_client_new(uv_loop_t *loop)
 {
@@ -418,11 +442,15 @@
 	return id && strcmp(id, call->correlation_value) != 0;
 }
 
-/* Returns whether the response states where it ends (RFC 9112, 6.3). */
-static bool is_framed(const http_parser *p)
+/* Returns how the response states where it ends (RFC 9112, 6.3). */
+static enum http_client_framing framing_of(const http_parser *p)
 {
-	return (p->flags & F_CHUNKED) || p->content_length != UINT64_MAX ||
-	       p->status_code == 204 || p->status_code == 304;
+	if (p->flags & F_CHUNKED)
+		return HTTP_CLIENT_FRAMING_CHUNKS;
+	if (p->content_length != UINT64_MAX || p->status_code == 204 ||
+	    p->status_code == 304)
+		return HTTP_CLIENT_FRAMING_LENGTH;
+	return HTTP_CLIENT_FRAMING_CLOSE;
 }
 
 static void report_head(struct conn *c)
@@ -437,7 +465,7 @@
 		.type = http_message_find(f, "content-type"),
 		.retry_after_s = -1,
 		.fields = f,
-		.framed = is_framed(&c->parser),
+		.framing = framing_of(&c->parser),
 		.reused = call->reused,
 	};
 
@@ -545,7 +573,7 @@
 		return;
 	}
 	if (c->head_seen && !c->discarding && !c->message_done &&
-	    !is_framed(&c->parser) &&
+	    framing_of(&c->parser) == HTTP_CLIENT_FRAMING_CLOSE &&
 	    http_parser_execute(&c->parser, &parser_settings, NULL, 0) == 0 &&
 	    c->message_done) {
 		close_conn(c);
@@ -589,10 +617,16 @@
 
 	if (!n || c->closed)
 		return;
-	if (n == UV_EOF && !socket_was_reset(&c->tcp)) {
-		handle_eof(c);
-	} else if (n < 0) {
-		fail_conn(c, HTTP_CLIENT_INTERRUPTED);
+	if (n < 0) {
+		bool reset = n != UV_EOF || socket_was_reset(&c->tcp);
+
+		if (c->call)
+			c->call->close = reset ? HTTP_CLIENT_CLOSE_RESET
+					       : HTTP_CLIENT_CLOSE_FIN;
+		if (reset)
+			fail_conn(c, HTTP_CLIENT_INTERRUPTED);
+		else
+			handle_eof(c);
 	} else if (!c->call) {
 		close_conn(c); /* bytes on an idle connection: no request's */
 	} else {
--- a/http/client.h
+++ b/http/client.h
@@ -24,6 +24,21 @@
 	HTTP_CLIENT_CANCELLED, /* by http_client_cancel() */
 };
 
+/* How a response states where its body ends. */
+enum http_client_framing {
+	HTTP_CLIENT_FRAMING_NONE, /* no head has arrived */
+	HTTP_CLIENT_FRAMING_LENGTH, /* also without a body by its status */
+	HTTP_CLIENT_FRAMING_CHUNKS,
+	HTTP_CLIENT_FRAMING_CLOSE, /* not at all: it ends with the connection */
+};
+
+/* How a call's connection ended, as far as the server is concerned. */
+enum http_client_close {
+	HTTP_CLIENT_CLOSE_NONE, /* it was open, or this client closed it */
+	HTTP_CLIENT_CLOSE_FIN, /* in order */
+	HTTP_CLIENT_CLOSE_RESET, /* by a reset or another error */
+};
+
 /* The head of a response; valid during the callback. */
 struct http_client_head {
 	int status;
@@ -32,7 +47,7 @@
 	const char *type; /* content-type, or NULL */
 	int64_t retry_after_s; /* -1: absent */
 	const struct http_message_fields *fields; /* all header fields */
-	bool framed; /* false: the response ends when its connection closes */
+	enum http_client_framing framing; /* never HTTP_CLIENT_FRAMING_NONE */
 	bool reused; /* the connection had carried another request before */
 };
 
@@ -78,6 +93,10 @@
 };
 
 const char *http_client_outcome_name(enum http_client_outcome outcome);
+const char *http_client_framing_name(enum http_client_framing framing);
+const char *http_client_close_name(enum http_client_close close);
+enum http_client_close
+http_client_closed_by_server(const struct http_client_call *call);
 struct http_client *http_client_new(uv_loop_t *loop);
 struct http_client_call *
 http_client_start(struct http_client *http_client,
--- a/http/server.c
+++ b/http/server.c
@@ -54,7 +54,7 @@
 	bool http10; /* HTTP/1.0 */
 	bool keep_alive; /* the connection may serve another request */
 	bool begun; /* the response's head has been written */
-	bool chunked; /* the response uses chunked transfer coding */
+	enum http_server_framing framing; /* of the response */
 	bool unframed; /* see http_server_send_unframed() */
 	bool ended; /* the owner has ended or aborted the response */
 	http_server_disconnect_cb disconnect_cb;
@@ -888,6 +888,20 @@
 	return r->is_head || status == 204 || status == 304;
 }
 
+/* Returns how a response with a body of `length` (-1: unknown) is framed. */
+static enum http_server_framing
+choose_framing(const struct http_server_request *r, int status, gint64 length)
+{
+	if (r->unframed)
+		return HTTP_SERVER_FRAMING_CLOSE;
+	if (length >= 0)
+		return HTTP_SERVER_FRAMING_LENGTH;
+	if (r->http10)
+		return HTTP_SERVER_FRAMING_CLOSE;
+	return has_no_body(r, status) ? HTTP_SERVER_FRAMING_LENGTH
+				      : HTTP_SERVER_FRAMING_CHUNKS;
+}
+
 /* Writes the response's head. `length` is that of the body; -1: unknown. */
 static void write_response_head(struct http_server_request *r, int status,
 				gint64 length)
@@ -896,22 +910,26 @@
 	GString *output = c->output;
 
 	r->begun = true;
+	r->framing = choose_framing(r, status, length);
 	g_string_append_printf(output, "HTTP/1.1 %d %s\r\n", status,
 			       status_reason(status));
 	g_string_append_len(output, r->headers->str, (gssize)r->headers->len);
-	if (r->unframed) {
-		r->keep_alive = false;
-	} else if (length >= 0) {
-		if (status != 204)
+	switch (r->framing) {
+	case HTTP_SERVER_FRAMING_LENGTH:
+		if (length >= 0 && status != 204)
 			g_string_append_printf(
 				output,
 				"Content-Length: %" G_GINT64_FORMAT "\r\n",
 				length);
-	} else if (r->http10) {
-		r->keep_alive = false;
-	} else if (!has_no_body(r, status)) {
-		r->chunked = true;
+		break;
+	case HTTP_SERVER_FRAMING_CHUNKS:
 		g_string_append(output, "Transfer-Encoding: chunked\r\n");
+		break;
+	case HTTP_SERVER_FRAMING_CLOSE:
+		r->keep_alive = false;
+		break;
+	case HTTP_SERVER_FRAMING_NONE:
+		break;
 	}
 	if (c->http_server->closing || !r->keep_alive)
 		c->close_when_sent = true;
@@ -940,6 +958,19 @@
 	return req->begun;
 }
 
+/* Returns how the response is framed, as logs show it; a static string. */
+const char *http_server_framing_name(const struct http_server_request *req)
+{
+	static const char *const names[] = {"-", "length", "chunks", "close"};
+
+	return names[req->framing];
+}
+
+static bool is_chunked(const struct http_server_request *req)
+{
+	return req->framing == HTTP_SERVER_FRAMING_CHUNKS;
+}
+
 /*
  * Appends `len` bytes to the body of a response that has begun. They are
  * buffered without limit until the client takes them; see
@@ -949,14 +980,15 @@
 		       size_t len)
 {
 	struct conn *c = req->conn;
+	bool chunked = is_chunked(req);
 
 	if (req->ended || !req->begun || !len)
 		return;
 	if (!req->is_head) {
-		if (req->chunked)
+		if (chunked)
 			g_string_append_printf(c->output, "%zx\r\n", len);
 		g_string_append_len(c->output, data, (gssize)len);
-		if (req->chunked)
+		if (chunked)
 			g_string_append(c->output, "\r\n");
 	}
 	flush(c);
@@ -968,7 +1000,7 @@
 	if (req->ended || !req->begun)
 		return;
 	req->ended = true;
-	if (req->chunked)
+	if (is_chunked(req))
 		g_string_append(req->conn->output, "0\r\n\r\n");
 	flush(req->conn);
 }
@@ -983,7 +1015,7 @@
 		return;
 	req->ended = true;
 	req->conn->close_when_sent = true;
-	if (!req->chunked)
+	if (!is_chunked(req))
 		g_string_truncate(req->conn->output, 0);
 	flush(req->conn);
 }
--- a/http/server.h
+++ b/http/server.h
@@ -17,6 +17,14 @@
 				       struct http_server_request *req);
 typedef void (*http_server_disconnect_cb)(void *user);
 
+/* How a response states where its body ends. */
+enum http_server_framing {
+	HTTP_SERVER_FRAMING_NONE, /* it has not begun */
+	HTTP_SERVER_FRAMING_LENGTH, /* also without a body by its status */
+	HTTP_SERVER_FRAMING_CHUNKS,
+	HTTP_SERVER_FRAMING_CLOSE, /* it ends when the connection closes */
+};
+
 /* What a client may send, and how long it may take. */
 struct http_server_limits {
 	size_t head_bytes; /* request line and header fields */
@@ -55,6 +63,7 @@
 			    const char *value);
 void http_server_begin_response(struct http_server_request *req, int status);
 bool http_server_response_begun(const struct http_server_request *req);
+const char *http_server_framing_name(const struct http_server_request *req);
 void http_server_write(struct http_server_request *req, const void *data,
 		       size_t len);
 void http_server_end_response(struct http_server_request *req);
