http: reset an aborted response that states no length

Cause: http_server_abort() leaves out the last chunk, by which a client can tell. A response without a length has none: finish_response() shut its connection down in order, as after a complete answer. Ruled out: the node takes the reset for the end of the answer (closed=reset, outcome=broken-off); the check for resets in http/socket.c works.

Change: as soon as a response begins whose end is that of its connection, the socket is set to reset when it is closed (SO_LINGER of 0), and set back before the orderly shutdown after a complete one. An aborted response closes without that shutdown. The same holds however the connection ends early: by a timeout, a write error or the end of the process, since the kernel does it.

Related paths: all ways in which a stream is given up go through http_server_abort(); answers with a length or chunks are told apart by these.

Test: t/t0042-stream-ends.sh, before: "FAIL: reset ended as complete after 2 of 5 events"; after: passes, also for a client of HTTP/1.0.

--- a/http/server.c
+++ b/http/server.c
@@ -89,6 +89,7 @@
 	bool message_done; /* the whole request has been parsed */
 	bool body_too_large;
 	bool close_when_sent;
+	bool reset_when_sent; /* the response was aborted */
 	bool write_failed;
 };
 
@@ -163,6 +164,7 @@
 
 	c->phase = PHASE_LINGER;
 	g_string_truncate(c->input, 0);
+	socket_set_reset_on_close(&c->tcp, false);
 	if (uv_shutdown(req, (uv_stream_t *)&c->tcp, on_shutdown) != 0)
 		g_free(req);
 	start_reading(c);
@@ -180,6 +182,10 @@
 			r->disconnect_cb(r->disconnect_user);
 		free_request(r);
 	}
+	if (c->reset_when_sent) {
+		close_conn(c);
+		return;
+	}
 	if (c->close_when_sent) {
 		linger(c);
 		return;
@@ -927,6 +933,7 @@
 		break;
 	case HTTP_SERVER_FRAMING_CLOSE:
 		r->keep_alive = false;
+		socket_set_reset_on_close(&c->tcp, true);
 		break;
 	case HTTP_SERVER_FRAMING_NONE:
 		break;
@@ -1007,7 +1014,8 @@
 
 /*
  * Aborts a response that has begun: its connection closes without the end of
- * the response, so that the client can tell that it is incomplete.
+ * the response, so that the client can tell that it is incomplete. Where that
+ * end is the connection's own, the connection is reset.
  */
 void http_server_abort(struct http_server_request *req)
 {
@@ -1015,6 +1023,7 @@
 		return;
 	req->ended = true;
 	req->conn->close_when_sent = true;
+	req->conn->reset_when_sent = req->framing == HTTP_SERVER_FRAMING_CLOSE;
 	if (!is_chunked(req))
 		g_string_truncate(req->conn->output, 0);
 	flush(req->conn);
--- a/http/socket.c
+++ b/http/socket.c
@@ -78,6 +78,19 @@
 		   sizeof(user_timeout_ms));
 }
 
+/*
+ * Sets whether the connection is reset when its socket is closed, also if that is
+ * because the process ends. Errors are ignored.
+ */
+void socket_set_reset_on_close(uv_tcp_t *tcp, bool reset)
+{
+	const struct linger l = {.l_onoff = reset, .l_linger = 0};
+	uv_os_fd_t fd;
+
+	if (uv_fileno((uv_handle_t *)tcp, &fd) == 0)
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &l, sizeof(l));
+}
+
 /*
  * Accepts a connection that waits at a listening socket. Returns its descriptor, or -1
  * if none waits.
--- a/t/helper/backend.c
+++ b/t/helper/backend.c
@@ -35,6 +35,7 @@
  *   stream-gap    leaves out event 2
  *   stream-slow   EVENT_INTERVAL_MS between events
  *   stream-pause  LONG_EVENT_INTERVAL_MS between events
+ *   stream-unframed-pause  the same without a length, ended by closing
  *   stream-drip   after event 2 only bytes of a comment, DRIP_INTERVAL_MS
  *                 between them, unless resumed
  * GET /fail-above/N makes it answer 500 to requests while more than N run, and
@@ -332,6 +333,10 @@
 		return;
 	}
 	uv_timer_stop(timer);
+	if (is_unframed(c)) {
+		close_conn(c);
+		return;
+	}
 	write_text(c, "0\r\n\r\n");
 	end_response(c);
 }
@@ -472,7 +477,7 @@
 			       EVENT_INTERVAL_MS);
 		return;
 	}
-	if (!strcmp(c->mode, "stream-pause")) {
+	if (g_str_has_suffix(c->mode, "-pause")) {
 		uv_timer_start(&c->timer, on_timer, LONG_EVENT_INTERVAL_MS,
 			       LONG_EVENT_INTERVAL_MS);
 		return;
--- /dev/null
+++ b/t/t0042-stream-ends.sh
@@ -0,0 +1,69 @@
+#!/usr/bin/env bash
+# A stream that was cut short never looks complete to its client.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+BASE=${BASE:-11600}
+. t/lib.sh
+. t/lib-routes.sh
+
+EVENTS=5        # of a whole stream, LONG_EVENT_INTERVAL_MS (0.9 s) apart
+TROUBLE_AFTER_S=2.2
+
+once='{"name":"once","host":"'$HOST'","path_prefix":"/once/","kind":"streaming","timeout_ms":15000,"goal_ms":2000,"gap_aim_ms":1000,"priority":1,"service":"desk","attempts":1,"public":true}'
+
+start_objects
+start_backend 1 desk
+configure 3 "$once"
+start_route_node 1
+wait_route_ready 1
+
+# stream NAME NODE PATH [CURL ARGUMENTS]: reads a stream in the background; its body
+# goes to $WORK/NAME.body, the exit code of curl, 0 if it ended as complete, to
+# $WORK/NAME.code.
+stream() {
+	local name=$1 node=$2 path=$3
+	shift 3
+	{
+		curl -sN -m 20 -o "$WORK/$name.body" -X POST -H "Host: $HOST" \
+			-H "Authorization: Token $ROUTE_KEY" -H "X-Chivegw-Request-Id: $name" \
+			-H 'X-Chivegw-Model: large' -d x "$@" "http://$(client_address "$node")$path"
+		echo $? >"$WORK/$name.code"
+	} &
+	readers+=($!)
+}
+readers=()
+wait_for_streams() {
+	wait "${readers[@]}"
+	readers=()
+}
+
+events() { grep -c '^data: ' "$WORK/$1.body"; }
+
+# expect_whole NAME, expect_cut NAME: how the stream looked to its client.
+expect_whole() {
+	expect "exit code of curl for $1" 0 "$(cat "$WORK/$1.code")"
+	expect "events of $1" "$EVENTS" "$(events "$1")"
+}
+expect_cut() {
+	[ "$(events "$1")" -lt "$EVENTS" ] || fail "$1 was not cut short"
+	[ "$(cat "$WORK/$1.code")" != 0 ] ||
+		fail "$1 ended as complete after $(events "$1") of $EVENTS events"
+}
+
+say "streams that end by themselves are complete"
+stream whole 1 /once/stream-unframed-pause
+stream whole-old-client 1 /once/stream-unframed-pause --http1.0
+wait_for_streams
+expect_whole whole
+expect_whole whole-old-client
+
+say "a server resets streams without a length"
+stream reset 1 /once/stream-unframed-pause
+stream reset-old-client 1 /once/stream-unframed-pause --http1.0
+sleep "$TROUBLE_AFTER_S"
+curl -fs -m 5 -o /dev/null "http://$(backend_address 1)/crash"
+wait_for_streams
+expect_cut reset
+expect_cut reset-old-client
+
+say "stream ends: passed"
