exchange: take a rejection of the request for what it is, and end misdirection

Cause: a server's 421 has three reasons (another server has the address, another version, no such model), and each was taken for the first. It set `misdirected`, which is_available() never passes over and only a removed entry clears. Ruled out: ejection (it ends within 6 s), the routes (another route is served).

Change: a 421 that names the server it was sent to has its own result, `unserved`, and says nothing against the server. The client gets 421 if it named the model itself, and no Retry-After. A model that the route does not list is rejected at once. A version that rejects a model which this node chose counts as failing in a roll-out; what clients name does not, or a client could have a good version rolled back.

The unit test's heads and contexts have one field more; no expectation changed.

--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -237,6 +237,8 @@
 					       : SERVER_CALL_OK;
 	case RETRY_RESULT_MISDIRECTED:
 		return SERVER_CALL_MISDIRECTED;
+	case RETRY_RESULT_UNSERVED:
+		return SERVER_CALL_UNSERVED;
 	case RETRY_RESULT_REFUSED:
 		return SERVER_CALL_REFUSED;
 	case RETRY_RESULT_WEAK:
@@ -338,6 +340,9 @@
 
 	if (shift && x->answer.result == RETRY_RESULT_BROKEN)
 		server_on_broken_answer(x->server, gateway_now(x->g));
+	/* What the client names may be unknown to any version. */
+	if (shift && x->answer.result == RETRY_RESULT_UNSERVED && x->model)
+		shift_on_answer(shift, x->version, route_hash(x), true);
 	if (!shift || x->answer.result != RETRY_RESULT_COMPLETE) {
 		end_latency(x);
 		return;
@@ -472,6 +477,7 @@
 		.answer_started = x->answer_started,
 		.client_disconnected = !x->req,
 		.has_saved = x->saved_status != 0,
+		.chosen_by_client = !x->model,
 	};
 
 	return s;
@@ -748,6 +754,19 @@
 	return true;
 }
 
+/*
+ * Returns whether the answer is of the server that the attempt is for. A node
+ * that serves the request for this one speaks for the servers.
+ */
+static bool names_receiver(const struct exchange_request *x,
+			   const struct http_message_fields *fields)
+{
+	const char *server =
+		http_message_find(fields, x->g->header_names->server);
+
+	return x->helper || (server && !strcmp(server, x->server->id));
+}
+
 static void on_head(void *user, const struct http_client_head *head)
 {
 	struct exchange_request *x = user;
@@ -764,6 +783,7 @@
 			http_message_find(head->fields, names->receipt) != NULL,
 		.encoded = http_message_find(head->fields,
 					     "content-encoding") != NULL,
+		.names_receiver = names_receiver(x, head->fields),
 	};
 
 	x->head_ms =
--- a/exchange/header-names.c
+++ b/exchange/header-names.c
@@ -11,6 +11,7 @@
 	.receipt = "X-Chivegw-Receipt",
 	.tenant = "X-Chivegw-Organisation",
 	.expect_server = "X-Chivegw-Server",
+	.server = "X-Chivegw-Served-By",
 	.load = "X-Chivegw-Load",
 	.leaving = "X-Chivegw-Leaving",
 	.rate_limit = "X-Chivegw-Rate-Limit",
--- a/exchange/header-names.h
+++ b/exchange/header-names.h
@@ -11,6 +11,7 @@
 	const char *receipt; /* the server's signature of its answer */
 	const char *tenant; /* organisation of the client */
 	const char *expect_server; /* only the server of this id may run it */
+	const char *server; /* of an answer: id of the server that gave it */
 	const char *load; /* running,waiting,slots */
 	const char *leaving; /* "1": the server is about to leave */
 	const char *rate_limit; /* requests a second that the server takes */
--- a/exchange/intake-task.c
+++ b/exchange/intake-task.c
@@ -128,6 +128,22 @@
 		elapsed_ms > DRAIN_ACCEPT_STREAMS_MS);
 }
 
+/* Returns false if the client names a model that the route does not have. */
+static bool is_model_known(const struct gateway_state *g,
+			   struct http_server_request *req,
+			   const struct route_entry *route)
+{
+	const char *model = http_server_header(req, g->header_names->model);
+
+	if (!route->n_models || !model ||
+	    !strcmp(model, g->header_names->any_model))
+		return true;
+	for (size_t i = 0; i < route->n_models; i++)
+		if (!strcmp(route->models[i], model))
+			return true;
+	return false;
+}
+
 /* A request that waits for the configuration. */
 struct pending_request {
 	struct gateway_state *g;
@@ -215,6 +231,10 @@
 		refuse_by_config(g, req, relayed, 401, "unknown-key");
 		return;
 	}
+	if (!is_model_known(g, req, route)) {
+		refuse_by_config(g, req, relayed, 421, "unknown-model");
+		return;
+	}
 	if (is_draining_too_long(g, route)) {
 		refuse_not_run(g, req, relayed, 503, "draining",
 			       DRAINING_RETRY_AFTER_MS);
--- a/exchange/pick.c
+++ b/exchange/pick.c
@@ -78,7 +78,7 @@
 /* Returns whether the server could serve any request of this node now. */
 static bool is_available(const struct server_record *s, uint64_t now)
 {
-	return s->state == SERVER_READY && !s->misdirected &&
+	return s->state == SERVER_READY && s->misdirected_until <= now &&
 	       !reach_is_lost(&s->reach) && server_may_get_request(s, now);
 }
 
--- a/exchange/place-task.c
+++ b/exchange/place-task.c
@@ -177,7 +177,8 @@
 {
 	return x->n_tried && x->retry.repeatable &&
 	       x->answer.result != RETRY_RESULT_REFUSED &&
-	       x->answer.result != RETRY_RESULT_MISDIRECTED;
+	       x->answer.result != RETRY_RESULT_MISDIRECTED &&
+	       x->answer.result != RETRY_RESULT_UNSERVED;
 }
 
 /*
--- a/exchange/relay-task.c
+++ b/exchange/relay-task.c
@@ -93,6 +93,8 @@
 	case RETRY_RESULT_REFUSED:
 	case RETRY_RESULT_MISDIRECTED:
 		return SERVER_CALL_REFUSED;
+	case RETRY_RESULT_UNSERVED:
+		return SERVER_CALL_UNSERVED;
 	case RETRY_RESULT_WEAK:
 	case RETRY_RESULT_CANCELLED:
 		return SERVER_CALL_IGNORED;
@@ -124,6 +126,7 @@
 		x->answer.result = RETRY_RESULT_UNSENT;
 		break;
 	case RETRY_RESULT_COMPLETE:
+	case RETRY_RESULT_UNSERVED:
 	case RETRY_RESULT_BROKEN:
 	case RETRY_RESULT_WEAK:
 	case RETRY_RESULT_CANCELLED:
--- a/exchange/retry.c
+++ b/exchange/retry.c
@@ -22,6 +22,7 @@
 	[RETRY_RESULT_COMPLETE] = "good",
 	[RETRY_RESULT_REFUSED] = "refused",
 	[RETRY_RESULT_MISDIRECTED] = "misdirected",
+	[RETRY_RESULT_UNSERVED] = "unserved",
 	[RETRY_RESULT_UNSENT] = "unsent",
 	[RETRY_RESULT_BROKEN] = "broken",
 	[RETRY_RESULT_WEAK] = "weak",
@@ -91,7 +92,8 @@
 	if (h->has_id && !h->id_matches)
 		return false;
 	if (h->status == 421) {
-		a->result = RETRY_RESULT_MISDIRECTED;
+		a->result = h->names_receiver ? RETRY_RESULT_UNSERVED
+					      : RETRY_RESULT_MISDIRECTED;
 		return true;
 	}
 	if (h->not_run) {
@@ -144,6 +146,9 @@
 		r->sent--;
 		r->unsent++;
 		break;
+	case RETRY_RESULT_UNSERVED:
+		r->unserved = true;
+		break;
 	case RETRY_RESULT_REFUSED:
 	case RETRY_RESULT_MISDIRECTED:
 		break;
@@ -202,17 +207,19 @@
 
 /*
  * Returns the error for a request without any answer to deliver: 503 if it did
- * not run, 504 shortly before the deadline, else 502.
+ * not run, or 421 if servers do not serve what the client asked for; 504 shortly
+ * before the deadline, else 502.
  */
 struct retry_refusal retry_make_refusal(const struct retry_state *r,
 					const struct retry_context *s)
 {
 	struct retry_refusal not_run = {503, "no-server", RETRY_AFTER_MS};
+	struct retry_refusal unserved = {421, "not-served-by-servers", 0};
 	struct retry_refusal late = {504, "deadline", 0};
 	struct retry_refusal unknown = {502, "no-answer", 0};
 
 	if (r->verdict == VERDICT_NOT_RUN)
-		return not_run;
+		return r->unserved && s->chosen_by_client ? unserved : not_run;
 	return s->now + MIN_RETRY_TIME_MS > s->deadline ? late : unknown;
 }
 
--- a/exchange/retry.h
+++ b/exchange/retry.h
@@ -19,6 +19,8 @@
 	RETRY_RESULT_COMPLETE, /* a complete answer, of any status */
 	RETRY_RESULT_REFUSED, /* the server says that it did not run */
 	RETRY_RESULT_MISDIRECTED, /* did not run: address of another server */
+	/* Did not run: the right server does not serve such requests. */
+	RETRY_RESULT_UNSERVED,
 	RETRY_RESULT_UNSENT, /* no byte left this node */
 	RETRY_RESULT_BROKEN, /* may have run; no complete answer */
 	RETRY_RESULT_WEAK, /* dropped to ask a larger model */
@@ -31,6 +33,7 @@
 	uint32_t max_sent; /* limit of `sent` */
 	uint32_t sent; /* attempts that may have reached a server */
 	uint32_t unsent; /* attempts of which no byte was sent */
+	bool unserved; /* some server does not serve such requests */
 	enum verdict_kind verdict; /* of all attempts together */
 };
 
@@ -50,6 +53,7 @@
 	bool not_run; /* states that the request did not run */
 	bool has_receipt; /* signed by the server */
 	bool encoded; /* has a content encoding, which cannot be read here */
+	bool names_receiver; /* it is of the server that the request was for */
 };
 
 /* The request's state when the next step is decided. */
@@ -59,6 +63,7 @@
 	bool answer_started; /* the client has received a part of it */
 	bool client_disconnected;
 	bool has_saved; /* a server's 5xx answer is kept */
+	bool chosen_by_client; /* what is asked for, and not by this node */
 };
 
 /* What to do after an attempt. */
--- a/exchange/servers.c
+++ b/exchange/servers.c
@@ -124,7 +124,8 @@
 	s->failure_rate = 0;
 	s->latency_ratio = 1;
 	s->reported_at = 0;
-	s->misdirected = false;
+	s->misdirected_until = 0;
+	s->misdirected_streak = 0;
 	memset(&s->reach, 0, sizeof(s->reach));
 }
 
@@ -162,6 +163,8 @@
 	s->draining = false;
 	s->said_leaving = false;
 	s->paused_until = 0;
+	s->misdirected_until = 0;
+	s->misdirected_streak = 0;
 	memset(&s->limit, 0, sizeof(s->limit));
 	brittle_on_start(&s->brittle, service);
 }
@@ -660,6 +663,19 @@
 	s->ejected_until = now + MIN(ms, SERVER_EJECT_MAX_MS);
 }
 
+/*
+ * Excludes a server whose address another one has, until its entry tells of a new
+ * start or address, or for a time that doubles while nothing else is heard.
+ */
+static void misdirect(struct server_record *s, uint64_t now)
+{
+	uint64_t ms = (uint64_t)SERVER_MISDIRECTED_FIRST_MS
+		      << MIN(s->misdirected_streak, MAX_EJECT_DOUBLINGS);
+
+	s->misdirected_streak++;
+	s->misdirected_until = now + MIN(ms, SERVER_MISDIRECTED_MAX_MS);
+}
+
 static void add_head_time(struct server_table *t, struct server_record *s,
 			  double head_ms)
 {
@@ -686,6 +702,7 @@
 		s->in_flight--;
 	switch (outcome) {
 	case SERVER_CALL_OK:
+		s->misdirected_streak = 0;
 		s->failure_streak = 0;
 		s->ejection_streak = 0;
 		s->failure_rate -= FAILURE_RATE_WEIGHT * s->failure_rate;
@@ -703,7 +720,10 @@
 		eject(s, now);
 		break;
 	case SERVER_CALL_MISDIRECTED:
-		s->misdirected = true;
+		misdirect(s, now);
+		break;
+	case SERVER_CALL_UNSERVED:
+		s->misdirected_streak = 0;
 		break;
 	case SERVER_CALL_REFUSED:
 		brittle_on_refusal(&s->brittle, now);
--- a/exchange/servers.h
+++ b/exchange/servers.h
@@ -17,6 +17,8 @@
  */
 #define SERVER_EJECT_FIRST_MS 400 /* doubles with each further ejection */
 #define SERVER_EJECT_MAX_MS 6000
+#define SERVER_MISDIRECTED_FIRST_MS 1000 /* doubles each further time */
+#define SERVER_MISDIRECTED_MAX_MS 16000
 #define SERVER_LOAD_MAX_AGE_MS 1500
 #define SERVER_DRAINED_MEMORY_MS 60000 /* a restored copy is not older */
 
@@ -80,7 +82,8 @@
 	uint64_t ejection_streak; /* ejections without a success between */
 	struct rate_limit limit;
 	uint64_t paused_until; /* it wants no request of this node before */
-	bool misdirected; /* another server has its address */
+	uint64_t misdirected_until; /* another server has its address */
+	uint32_t misdirected_streak; /* times without an answer of its own */
 	bool listed; /* present in the listing being applied */
 };
 
@@ -121,6 +124,7 @@
 	SERVER_CALL_FAILED,
 	SERVER_CALL_TIMED_OUT, /* no progress within the limit */
 	SERVER_CALL_MISDIRECTED, /* another server has the address */
+	SERVER_CALL_UNSERVED, /* it does not serve such requests */
 	SERVER_CALL_IGNORED, /* ended by the client or by this node */
 };
 
--- a/t/helper/backend.c
+++ b/t/helper/backend.c
@@ -7,6 +7,7 @@
  *   fail          500
  *   refuse        503, the request did not run
  *   other         421, the request did not run: wrong instance
+ *   unserved      421 of the expected instance: it does not serve such requests
  *   lose          runs the request, then closes the connection
  *   silent        runs the request, never responds
  *   crossed       a response with another request's id, then the right one
@@ -508,6 +509,15 @@
 	end_response(c);
 }
 
+/* Rejects a request that this instance is expected to run but does not serve. */
+static void write_unserved(struct conn *c)
+{
+	g_autofree char *field =
+		g_strdup_printf("X-Chivegw-Instance-Id: %s\r\n", instance);
+
+	write_response(c, 421, c->id, field, "");
+}
+
 /* Responds as the connection's mode says. */
 static void respond(struct conn *c, int last_event)
 {
@@ -529,7 +539,10 @@
 		write_response(c, 503, c->id, "X-Chivegw-Not-Run: 1\r\n",
 			       "full");
 	else if (!strcmp(m, "other"))
-		write_response(c, 421, c->id, "", "");
+		write_response(c, 421, c->id,
+			       "X-Chivegw-Instance-Id: i-another\r\n", "");
+	else if (!strcmp(m, "unserved"))
+		write_unserved(c);
 	else if (!strcmp(m, "lose"))
 		close_conn(c);
 	else if (!strcmp(m, "silent"))
@@ -640,7 +653,8 @@
 
 static bool mode_runs_request(const char *mode)
 {
-	return strcmp(mode, "refuse") != 0 && strcmp(mode, "other") != 0;
+	return strcmp(mode, "refuse") != 0 && strcmp(mode, "other") != 0 &&
+	       strcmp(mode, "unserved") != 0;
 }
 
 static void handle_request(struct conn *c, char *head, const char *body)
--- a/t/unit/exchange_test.cc
+++ b/t/unit/exchange_test.cc
@@ -223,7 +223,7 @@
 	EXPECT_NE(p.parts[0], 0u);
 }
 
-const retry_answer_head kGood = {200, true, true, false, true, false};
+const retry_answer_head kGood = {200, true, true, false, true, false, false};
 
 retry_result result_of(retry_answer_head h)
 {
@@ -246,20 +246,46 @@
 	h = kGood;
 	h.encoded = true;
 	EXPECT_EQ(result_of(h), RETRY_RESULT_BROKEN);
-	EXPECT_EQ(result_of({503, false, false, true, false, false}),
+	EXPECT_EQ(result_of({503, false, false, true, false, false, false}),
 		  RETRY_RESULT_REFUSED);
-	EXPECT_EQ(result_of({503, true, false, true, false, false}),
+	EXPECT_EQ(result_of({503, true, false, true, false, false, false}),
 		  RETRY_RESULT_BROKEN)
 		<< "the refusal of another request";
-	EXPECT_EQ(result_of({503, true, true, false, true, false}),
+	EXPECT_EQ(result_of({503, true, true, false, true, false, false}),
 		  RETRY_RESULT_BROKEN)
 		<< "a 503 without the mark that it did not run";
-	EXPECT_EQ(result_of({421, false, false, false, false, false}),
+	EXPECT_EQ(result_of({421, false, false, false, false, false, false}),
 		  RETRY_RESULT_MISDIRECTED);
-	EXPECT_EQ(result_of({500, true, true, false, true, false}),
+	EXPECT_EQ(result_of({421, true, true, false, false, false, true}),
+		  RETRY_RESULT_UNSERVED)
+		<< "the right server rejects the request as it is";
+	EXPECT_EQ(result_of({421, true, false, false, false, false, true}),
+		  RETRY_RESULT_BROKEN)
+		<< "the rejection of another request";
+	EXPECT_EQ(result_of({500, true, true, false, true, false, false}),
 		  RETRY_RESULT_COMPLETE);
 }
 
+// A client that asks for what servers do not serve is told so; what this node
+// chose for it may be served later.
+TEST(Retry, TellsClientsThatServersDoNotServeWhatTheyNamed)
+{
+	Table t;
+	retry_state r;
+	retry_answer a;
+	const retry_answer_head unserved = {421,   true,  true, false,
+					    false, false, true};
+	retry_context s = {100, 1000, false, false, false, true};
+	retry_init(&r, t.route("/a/b/x"));
+	retry_begin_attempt(&r, &a);
+	retry_on_head(&a, &unserved);
+	retry_on_end(&a, true, false, false);
+	retry_count_answer(&r, &a);
+	EXPECT_EQ(retry_make_refusal(&r, &s).status, 421);
+	s.chosen_by_client = false;
+	EXPECT_EQ(retry_make_refusal(&r, &s).status, 503);
+}
+
 // For any sequence of answers, a non-repeatable request is sent again only after
 // attempts that certainly did not run, and is refused with 503, which means that
 // it did not run, only then.
@@ -273,7 +299,7 @@
 		retry_answer a;
 		RC_ASSERT(!ran);
 		retry_begin_attempt(&r, &a);
-		int kind = *rc::gen::inRange(0, 5);
+		int kind = *rc::gen::inRange(0, 6);
 		retry_answer_head head = kGood;
 		bool complete = *rc::gen::arbitrary<bool>();
 		bool unsent = false;
@@ -281,16 +307,19 @@
 			head.status =
 				*rc::gen::element(200, 404, 500, 503, 429);
 		else if (kind == 1)
-			head = {503, false, false, true, false, false};
+			head = {503, false, false, true, false, false, false};
 		else if (kind == 2)
-			head = {421, false, false, false, false, false};
+			head = {421, false, false, false, false, false, false};
+		else if (kind == 5)
+			head = {421,   true,  true, false,
+				false, false, true};
 		else if (kind == 3)
 			unsent = true;
-		if (kind < 3)
+		if (kind < 3 || kind == 5)
 			retry_on_head(&a, &head);
 		retry_on_end(&a, complete, unsent, false);
 		ran = kind == 0 || kind == 4;
-		retry_context s = {100, 1000, false, false, false};
+		retry_context s = {100, 1000, false, false, false, false};
 		retry_step step = retry_next_step(&r, &a, &s);
 		if (step == RETRY_STEP_RESEND)
 			continue;
@@ -308,8 +337,8 @@
 	Table t;
 	retry_state r;
 	retry_answer a;
-	retry_context s = {0, 1000, false, false, false};
-	retry_answer_head failure = {500, true, true, false, true, false};
+	retry_context s = {0, 1000, false, false, false, false};
+	retry_answer_head failure = {500, true, true, false, true, false, false};
 	retry_init(&r, t.route("/a/x"));
 	for (int i = 0; i < 2; i++) {
 		retry_begin_attempt(&r, &a);
@@ -333,7 +362,7 @@
 	Table t;
 	retry_state r;
 	retry_answer a;
-	retry_context s = {0, 15000, true, false, false};
+	retry_context s = {0, 15000, true, false, false, false};
 	retry_init(&r, t.route("/t/x"));
 	retry_begin_attempt(&r, &a);
 	a.result = RETRY_RESULT_COMPLETE;
@@ -349,7 +378,7 @@
 	Table t;
 	retry_state r;
 	retry_answer a;
-	retry_context s = {990, 1000, false, false, false};
+	retry_context s = {990, 1000, false, false, false, false};
 	retry_init(&r, t.route("/a/x"));
 	retry_begin_attempt(&r, &a);
 	retry_on_end(&a, false, false, false);
@@ -775,6 +804,51 @@
 	EXPECT_STREQ(s.pick({}, 1), "a");
 }
 
+void misdirect(Servers *s, server_record *r, uint64_t now)
+{
+	server_on_request_start(r, now);
+	server_on_request_end(&s->t, r, now, SERVER_CALL_MISDIRECTED, 0);
+}
+
+// What is believed of an address must not keep a sound server out for good.
+TEST(Servers, MisdirectionEndsByItself)
+{
+	Servers s;
+	server_record *a = s.put("a");
+	uint64_t now = 0;
+	for (int i = 0; i < 40; i++) {
+		uint64_t began = now;
+		misdirect(&s, a, now);
+		EXPECT_STREQ(s.pick({}, now), "none");
+		while (s.pick({}, now) == std::string("none") &&
+		       now - began <= SERVER_MISDIRECTED_MAX_MS)
+			now += 100;
+		EXPECT_LE(now - began, SERVER_MISDIRECTED_MAX_MS);
+	}
+}
+
+TEST(Servers, MisdirectionEndsWithAnotherStartOfTheServer)
+{
+	Servers s;
+	server_record *a = s.put("a", "z1", "v1", false, 1, 1000);
+	misdirect(&s, a, 0);
+	EXPECT_STREQ(s.pick({}, 1), "none");
+	s.put("a", "z1", "v1", false, 2, 2000);
+	EXPECT_STREQ(s.pick({}, 1), "a");
+}
+
+TEST(Servers, RejectedRequestsDoNotCountAgainstTheServer)
+{
+	Servers s;
+	server_record *a = s.put("a");
+	for (int i = 0; i < 20; i++) {
+		server_on_request_start(a, i);
+		server_on_request_end(&s.t, a, i, SERVER_CALL_UNSERVED, 0);
+		EXPECT_STREQ(s.pick({}, i), "a");
+	}
+	EXPECT_EQ(a->in_flight, 0u);
+}
+
 TEST(Servers, BlamesBrokenAnswersOnTheVersionIfTheServerAnswersAgain)
 {
 	Servers s;
