exchange: start no request that may outlast a stopping node

Cause: any request but a stream was accepted until 1.3 s before the end of the grace period, and the node exits 0.4 s before it: 0.9 s are left for a request that may take its route's 5 s. Retries of requests that have not run were not checked at all.

Change: a pure decision, exchange/drain.c, by the time that the request may take; asked at admission and before each attempt of a request that has not run. Refusals are 503, not run. In the first 2.5 s of a stop nothing changes. Streams with little time left are served where they were refused.

--- a/daemon/gateway.c
+++ b/daemon/gateway.c
@@ -12,6 +12,7 @@
 #include "crash/crash-check-task.h"
 #include "daemon/gateway-metrics.h"
 #include "daemon/version.h"
+#include "exchange/drain.h"
 #include "exchange/exchange.h"
 #include "exchange/intake-task.h"
 #include "fleet/findings-task.h"
@@ -29,7 +30,6 @@
 #define CLEANUP_TICKS 10
 #define CONFIG_STALE_AFTER_MS 1500 /* without contact to the source */
 #define WATCH_TIMEOUT_MS 30000 /* of one watch call to the platform */
-#define EXIT_MARGIN_MS 400 /* exit this long before grace_s is over */
 #define MIN_DRAIN_MS 2600 /* the balancer needs it to see the node unready */
 /* Limits until the first configuration sets them. */
 #define INITIAL_MAX_BODY_BYTES (4 * 1024 * 1024)
@@ -444,17 +444,35 @@
 	exit(EXIT_SUCCESS);
 }
 
+static uint64_t grace_ms(const struct gateway_state *g)
+{
+	return (uint64_t)(1000 * g->settings->grace_s);
+}
+
+/*
+ * Returns whether a request that takes takes_ms at most may be started: the node
+ * does not stop, or not too soon.
+ */
+bool gateway_may_start(struct gateway_state *g, uint64_t takes_ms)
+{
+	const struct drain d = {
+		.elapsed_ms = gateway_now(g) - g->drain_started_at,
+		.grace_ms = grace_ms(g),
+	};
+
+	return !g->draining || drain_may_start(&d, takes_ms);
+}
+
 /*
  * Ends a graceful shutdown when the balancer has had time to see the node as
- * unready and all requests are answered, or EXIT_MARGIN_MS before the process
- * would be killed.
+ * unready and all requests are answered, or shortly before the process would be
+ * killed.
  */
 static void check_drain(struct gateway_state *g, uint64_t now)
 {
 	uint64_t elapsed_ms = now - g->drain_started_at;
-	uint64_t grace_ms = (uint64_t)(1000 * g->settings->grace_s);
 
-	if (elapsed_ms + EXIT_MARGIN_MS >= grace_ms) {
+	if (elapsed_ms >= drain_exit_ms(grace_ms(g))) {
 		if (g->open_requests)
 			log_event(LOG_EVENT_DRAIN_EXPIRED, "open=%zu",
 				  g->open_requests);
--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -98,6 +98,7 @@
 const char *gateway_topic_name(enum feed_topic topic);
 uint64_t gateway_now(struct gateway_state *g);
 bool gateway_has_all_topics(const struct gateway_state *g);
+bool gateway_may_start(struct gateway_state *g, uint64_t takes_ms);
 bool gateway_may_serve(struct gateway_state *g);
 void gateway_serve_pending(struct gateway_state *g);
 bool gateway_has_read_source(const struct gateway_state *g);
--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -985,6 +985,23 @@
 	return true;
 }
 
+/*
+ * Refuses a request that has not run and that may outlast the node, which stops.
+ * Returns whether it did.
+ */
+static bool refuse_if_stopping(struct exchange_request *x, uint64_t now)
+{
+	const struct retry_refusal r = {503, "draining",
+					EXCHANGE_DRAINING_RETRY_AFTER_MS};
+	uint64_t left_ms = x->deadline > now ? x->deadline - now : 0;
+
+	if (x->retry.verdict != VERDICT_NOT_RUN ||
+	    gateway_may_start(x->g, left_ms))
+		return false;
+	send_refusal(x, &r);
+	return true;
+}
+
 /*
  * Starts an attempt, or ends the request if its client has left or there is no
  * server for it.
@@ -1001,6 +1018,8 @@
 		return;
 	INVARIANT(retry_may_send(&x->retry),
 		  "exchange: a request that may have run is not sent again");
+	if (refuse_if_stopping(x, now))
+		return;
 	if (blocked_ms || !choose_receiver(x, now)) {
 		struct retry_refusal r = retry_make_refusal(&x->retry, &s);
 
@@ -1048,17 +1067,20 @@
 	call_server(x, now);
 }
 
-/* Returns the time by which the request must be answered. */
-static uint64_t request_deadline(const struct gateway_state *g,
-				 struct http_server_request *req,
-				 const struct route_entry *route, uint64_t now)
+/*
+ * Returns how long a request may take, in ms: the lesser of what its client and
+ * its route allow.
+ */
+uint64_t exchange_time_ms(const struct gateway_state *g,
+			  struct http_server_request *req,
+			  const struct route_entry *route)
 {
 	const char *value = http_server_header(req, g->header_names->deadline);
 	uint64_t ms = route->timeout_ms;
 
 	if (value && g_ascii_isdigit(*value))
 		ms = MIN(ms, g_ascii_strtoull(value, NULL, 10));
-	return now + ms;
+	return ms;
 }
 
 /*
@@ -1124,7 +1146,7 @@
 	x->route = route;
 	x->id = g_strdup(id);
 	x->started_at = gateway_now(g);
-	x->deadline = request_deadline(g, req, route, x->started_at);
+	x->deadline = x->started_at + exchange_time_ms(g, req, route);
 	x->urgency = route->priority;
 	if (org != ROUTE_NONE) {
 		x->org = g->routes->orgs[org].name;
--- a/exchange/exchange.h
+++ b/exchange/exchange.h
@@ -8,6 +8,9 @@
 #include "exchange/retry.h"
 #include "rollout/shift.h"
 
+/* Retry-After of requests that a node refuses because it stops. */
+#define EXCHANGE_DRAINING_RETRY_AFTER_MS 100
+
 /* A client's request, from its admission to the end of its answer. */
 struct exchange_request {
 	struct gateway_state *g;
@@ -82,6 +85,9 @@
 void exchange_start(struct gateway_state *g, struct http_server_request *req,
 		    const struct route_entry *route, route_handle org,
 		    const char *id, bool relayed);
+uint64_t exchange_time_ms(const struct gateway_state *g,
+			  struct http_server_request *req,
+			  const struct route_entry *route);
 void exchange_check_overdue(struct gateway_state *g, uint64_t now);
 void exchange_refuse(struct gateway_state *g, struct http_server_request *req,
 		     int status, const char *verdict, const char *reason,
--- a/exchange/intake-task.c
+++ b/exchange/intake-task.c
@@ -8,8 +8,6 @@
 #include "log-event.h"
 #include "relay/header.h"
 
-#define DRAIN_ACCEPT_STREAMS_MS 2500 /* after the start of draining */
-#define DRAIN_RESERVE_MS 1300 /* before the end of the grace period */
 #define START_WAIT_MS 500 /* after the start, for the configuration */
 
 #define MAX_RELAYED_REQUESTS 128 /* that this node serves for others */
@@ -17,7 +15,6 @@
 /* Retry-After of refusals. */
 #define CONFIG_UNSURE_RETRY_AFTER_MS 300
 #define NO_CONFIG_RETRY_AFTER_MS 400
-#define DRAINING_RETRY_AFTER_MS 100
 
 /*
  * Answers a request with an error of the gateway's own: verdict says whether it
@@ -114,20 +111,6 @@
 	return false;
 }
 
-/* Returns true if the node is about to stop, too soon to finish the request. */
-static bool is_draining_too_long(struct gateway_state *g,
-				 const struct route_entry *route)
-{
-	uint64_t elapsed_ms = gateway_now(g) - g->drain_started_at;
-	uint64_t grace_ms = (uint64_t)(1000 * g->settings->grace_s);
-
-	if (!g->draining)
-		return false;
-	return elapsed_ms + DRAIN_RESERVE_MS > grace_ms ||
-	       (route->kind == ROUTE_STREAMING &&
-		elapsed_ms > DRAIN_ACCEPT_STREAMS_MS);
-}
-
 /* Returns false if the client names a model that the route does not have. */
 static bool is_model_known(const struct gateway_state *g,
 			   struct http_server_request *req,
@@ -235,9 +218,9 @@
 		refuse_by_config(g, req, relayed, 421, "unknown-model");
 		return;
 	}
-	if (is_draining_too_long(g, route)) {
+	if (!gateway_may_start(g, exchange_time_ms(g, req, route))) {
 		refuse_not_run(g, req, relayed, 503, "draining",
-			       DRAINING_RETRY_AFTER_MS);
+			       EXCHANGE_DRAINING_RETRY_AFTER_MS);
 		return;
 	}
 	exchange_start(g, req, route, org, id, relayed);
@@ -291,7 +274,7 @@
 		  id ? id : "-", from ? from : "-", refusal ? refusal : "no");
 	if (refusal)
 		refuse_not_run(g, req, true, 503, refusal,
-			       DRAINING_RETRY_AFTER_MS);
+			       EXCHANGE_DRAINING_RETRY_AFTER_MS);
 	else
 		admit(g, req, true);
 }
--- a/t/unit/exchange_test.cc
+++ b/t/unit/exchange_test.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 extern "C" {
+#include "exchange/drain.h"
 #include "exchange/budget.h"
 #include "exchange/cascade.h"
 #include "exchange/events.h"
@@ -223,6 +224,32 @@
 	EXPECT_NE(p.parts[0], 0u);
 }
 
+// A request that a node starts must end before the node does, unless the balancer
+// could not know yet that it stops.
+RC_GTEST_PROP(Drain, StartsNothingLateThatOutlastsTheNode, ())
+{
+	const uint64_t grace = *rc::gen::inRange(0, 60000);
+	const drain d = {(uint64_t)*rc::gen::inRange(0, 60000), grace};
+	const uint64_t takes = *rc::gen::inRange(0, 20000);
+
+	if (drain_may_start(&d, takes) && d.elapsed_ms > 2500)
+		RC_ASSERT(d.elapsed_ms + takes < drain_exit_ms(grace));
+	RC_ASSERT(drain_exit_ms(grace) <= grace);
+}
+
+TEST(Drain, StartsWhatEndsInTime)
+{
+	drain d = {6000, 8000};
+
+	EXPECT_TRUE(drain_may_start(&d, 1000));
+	EXPECT_FALSE(drain_may_start(&d, 1550));
+	d.elapsed_ms = 2000;
+	EXPECT_TRUE(drain_may_start(&d, 15000));
+	d.elapsed_ms = 2600;
+	EXPECT_FALSE(drain_may_start(&d, 15000));
+	EXPECT_TRUE(drain_may_start(&d, 4000));
+}
+
 const retry_answer_head kGood = {200, true, true, false, true, false, false};
 
 retry_result result_of(retry_answer_head h)
