exchange: pass on answers without a length in chunks

Cause: the node sent such answers without a length itself, so that the kernel's orderly end of a killed process's connections was the end of the stream.

Why more: a reset may be lost, or turned into an orderly end by what lies between, and a client can't know that this node would reset. A last chunk says that the node has seen the end. Clients of HTTP/1.0 know no chunks and keep the reset. Connections stay open after such answers.

Change: http_server_send_unframed() and the three flags for it go, with the comment that gave the reason; a resumed answer without a length is no longer treated as broken for the framing alone.

--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -164,13 +164,11 @@
 /* Ends the request with a complete answer that is not a stream. */
 static void send_buffered_answer(struct exchange_request *x, int status,
 				 const struct http_message_fields *head,
-				 const GString *body, bool unframed)
+				 const GString *body)
 {
 	counter_add(&x->g->counter_set, COUNTER_ANSWERED, 1);
 	if (x->req) {
 		copy_answer_headers(x, head);
-		if (unframed)
-			http_server_send_unframed(x->req);
 		http_server_reply(x->req, status, NULL, body->str, body->len);
 	}
 	log_request_end(x, status, status < 400 ? "answered" : "server-failed");
@@ -186,9 +184,6 @@
 	x->first_event_ms = (double)(gateway_now(x->g) - x->started_at);
 	x->first_server = g_strdup(x->server->id);
 	copy_answer_headers(x, &x->head);
-	if (x->unframed)
-		http_server_send_unframed(x->req);
-	x->started_unframed = x->unframed;
 	http_server_begin_response(x->req, x->answer.status);
 }
 
@@ -221,12 +216,17 @@
 	GString *body = x->saved_body;
 
 	x->saved_status = x->answer.status;
-	x->saved_unframed = x->unframed;
 	http_message_fields_copy(&x->saved_head, &x->head);
 	x->saved_body = x->body;
 	x->body = body;
 }
 
+/* Returns whether the answer states no end but that of its connection. */
+static bool ends_by_close(const struct exchange_request *x)
+{
+	return x->framing == HTTP_CLIENT_FRAMING_CLOSE;
+}
+
 /* Returns what the attempt says about the server. */
 static enum server_outcome call_outcome(const struct exchange_request *x,
 					enum http_client_outcome end)
@@ -381,7 +381,7 @@
 			   now - x->first_event_at < CRASH_AFTER_EVENT_MS;
 
 	/* An answer without a length may be incomplete. */
-	if (x->answer.result == RETRY_RESULT_COMPLETE && !x->unframed) {
+	if (x->answer.result == RETRY_RESULT_COMPLETE && !ends_by_close(x)) {
 		bool answered_prompt = x->answer.status < 300;
 		uint32_t first = answered_prompt ? 0 : x->n_crash_keys - 1;
 
@@ -390,7 +390,7 @@
 				     x->n_crash_keys - first);
 	}
 	if (x->answer.result == RETRY_RESULT_BROKEN && ended_early &&
-	    !x->helper && (end == HTTP_CLIENT_INTERRUPTED || x->unframed))
+	    !x->helper && (end == HTTP_CLIENT_INTERRUPTED || ends_by_close(x)))
 		check_for_crash(x, now);
 }
 
@@ -533,12 +533,11 @@
 	x->server = NULL;
 	switch (step) {
 	case RETRY_STEP_DELIVER:
-		send_buffered_answer(x, x->answer.status, &x->head, x->body,
-				     x->unframed);
+		send_buffered_answer(x, x->answer.status, &x->head, x->body);
 		return;
 	case RETRY_STEP_DELIVER_SAVED:
 		send_buffered_answer(x, x->saved_status, &x->saved_head,
-				     x->saved_body, x->saved_unframed);
+				     x->saved_body);
 		return;
 	case RETRY_STEP_RESEND:
 		if (x->answer.result == RETRY_RESULT_COMPLETE)
@@ -576,8 +575,7 @@
 		     end == HTTP_CLIENT_NOT_SENT,
 		     !x->req && end == HTTP_CLIENT_CANCELLED);
 	if (x->answer.result == RETRY_RESULT_COMPLETE && x->streamed &&
-	    (x->events.mid_event || x->stream_status != EVENT_STREAM_OK ||
-	     (x->unframed && x->answer_started && !x->started_unframed)))
+	    (x->events.mid_event || x->stream_status != EVENT_STREAM_OK))
 		x->answer.result = RETRY_RESULT_BROKEN;
 	/* Unless a helper says otherwise, a server may have run the request. */
 	if (x->answer.result == RETRY_RESULT_COMPLETE && !x->by_server)
@@ -800,7 +798,6 @@
 		return;
 	}
 	x->framing = head->framing;
-	x->unframed = head->framing == HTTP_CLIENT_FRAMING_CLOSE;
 	x->streamed = head->status == 200 && type &&
 		      g_str_has_prefix(type, "text/event-stream");
 	if (x->streamed && escalate_to_larger_model(x, head->fields)) {
@@ -1032,7 +1029,7 @@
 			abort_answer(x, blocked_ms ? r.reason : "no-server");
 		else if (x->saved_status)
 			send_buffered_answer(x, x->saved_status, &x->saved_head,
-					     x->saved_body, x->saved_unframed);
+					     x->saved_body);
 		else
 			send_refusal(x, &r);
 		return;
--- a/exchange/exchange.h
+++ b/exchange/exchange.h
@@ -52,7 +52,6 @@
 	GString *body; /* of an answer that is not a stream */
 	bool by_server; /* a server gave the answer, not a helper of its own */
 	bool streamed; /* the answer is an event stream */
-	bool unframed; /* the answer ends with its connection */
 	enum http_client_framing framing; /* of the answer */
 	enum http_client_close closed; /* by the server */
 	enum event_stream_status stream_status;
@@ -71,7 +70,6 @@
 	/* What the client has received of the answer. */
 	struct event_stream events;
 	bool answer_started;
-	bool started_unframed; /* `unframed` when the answer started */
 	char *first_server; /* id of the server whose head was sent */
 	double first_event_ms; /* from started_at to the first event */
 
@@ -79,7 +77,6 @@
 	int saved_status; /* 0: none */
 	struct http_message_fields saved_head;
 	GString *saved_body;
-	bool saved_unframed;
 };
 
 void exchange_start(struct gateway_state *g, struct http_server_request *req,
--- a/http/server.c
+++ b/http/server.c
@@ -55,7 +55,6 @@
 	bool keep_alive; /* the connection may serve another request */
 	bool begun; /* the response's head has been written */
 	enum http_server_framing framing; /* of the response */
-	bool unframed; /* see http_server_send_unframed() */
 	bool ended; /* the owner has ended or aborted the response */
 	http_server_disconnect_cb disconnect_cb;
 	void *disconnect_user;
@@ -898,8 +897,6 @@
 static enum http_server_framing
 choose_framing(const struct http_server_request *r, int status, gint64 length)
 {
-	if (r->unframed)
-		return HTTP_SERVER_FRAMING_CLOSE;
 	if (length >= 0)
 		return HTTP_SERVER_FRAMING_LENGTH;
 	if (r->http10)
@@ -1029,17 +1026,6 @@
 	flush(req->conn);
 }
 
-/*
- * Makes the response state no length, so that it ends when its connection
- * closes. Used for a backend server's response without a length: the client
- * then knows no more about its end than this node does. Call it before the
- * response begins.
- */
-void http_server_send_unframed(struct http_server_request *req)
-{
-	req->unframed = true;
-}
-
 /* Returns how many bytes of output the socket has not accepted yet. */
 size_t http_server_unsent_bytes(const struct http_server_request *req)
 {
--- a/http/server.h
+++ b/http/server.h
@@ -68,7 +68,6 @@
 		       size_t len);
 void http_server_end_response(struct http_server_request *req);
 void http_server_abort(struct http_server_request *req);
-void http_server_send_unframed(struct http_server_request *req);
 size_t http_server_unsent_bytes(const struct http_server_request *req);
 void http_server_reply(struct http_server_request *req, int status,
 		       const char *type, const char *body, size_t len);
--- a/t/t0042-stream-ends.sh
+++ b/t/t0042-stream-ends.sh
@@ -24,7 +24,7 @@
 	local name=$1 node=$2 path=$3
 	shift 3
 	{
-		curl -sN -m 20 -o "$WORK/$name.body" -X POST -H "Host: $HOST" \
+		curl -sN -m 20 -o "$WORK/$name.body" -D "$WORK/$name.head" -X POST -H "Host: $HOST" \
 			-H "Authorization: Token $ROUTE_KEY" -H "X-Chivegw-Request-Id: $name" \
 			-H 'X-Chivegw-Model: large' -d x "$@" "http://$(client_address "$node")$path"
 		echo $? >"$WORK/$name.code"
@@ -55,6 +55,8 @@
 stream whole-old-client 1 /once/stream-unframed-pause --http1.0
 wait_for_streams
 expect_whole whole
+grep -qi "^transfer-encoding: chunked" "$WORK/whole.head" ||
+	fail "only the connection tells the client where the stream ends"
 expect_whole whole-old-client
 
 say "a server resets streams without a length"
@@ -66,4 +68,14 @@
 expect_cut reset
 expect_cut reset-old-client
 
+say "a node is killed while it passes on streams without a length"
+start_backend 2 desk # the first one has crashed lately
+stream killed 1 /once/stream-unframed-pause
+stream killed-old-client 1 /once/stream-unframed-pause --http1.0
+sleep "$TROUBLE_AFTER_S"
+crash route1
+wait_for_streams
+expect_cut killed
+expect_cut killed-old-client
+
 say "stream ends: passed"
--- a/t/unit/http_server_test.cc
+++ b/t/unit/http_server_test.cc
@@ -146,6 +146,71 @@
 	EXPECT_EQ(s.requests[0], nullptr);
 }
 
+// Returns what read() gives once all bytes are read: 0 for an orderly end, -1 for
+// a reset; the bytes are added to *text.
+ssize_t read_to_end(TestServer *s, TestClient *c, std::string *text)
+{
+	char bytes[4096];
+	ssize_t n = -1;
+	for (int i = 0; i < 500; i++) {
+		s->run_ms(1);
+		n = recv(c->fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+		if (n > 0)
+			text->append(bytes, (size_t)n);
+		else if (n == 0 || errno != EAGAIN)
+			return n;
+	}
+	ADD_FAILURE() << "the connection did not end";
+	return n;
+}
+
+const char *kOldRequest = "GET / HTTP/1.0\r\n\r\n";
+
+// Without a length or chunks only the kind of its end shows a client that a
+// response is incomplete.
+TEST(Abort, ResetsResponseThatEndsWithItsConnection)
+{
+	TestServer s;
+	TestClient c;
+	std::string text;
+	c.send_bytes(kOldRequest);
+	s.wait_for_requests(1);
+	http_server_begin_response(s.requests[0], 200);
+	http_server_write(s.requests[0], "part", 4);
+	s.run_ms(20);
+	http_server_abort(s.requests[0]);
+	EXPECT_EQ(read_to_end(&s, &c, &text), -1);
+}
+
+TEST(Abort, LeavesOutTheLastChunk)
+{
+	TestServer s;
+	TestClient c;
+	std::string text;
+	c.send_bytes(kRequest);
+	s.wait_for_requests(1);
+	http_server_begin_response(s.requests[0], 200);
+	http_server_write(s.requests[0], "part", 4);
+	http_server_abort(s.requests[0]);
+	EXPECT_EQ(read_to_end(&s, &c, &text), 0);
+	EXPECT_NE(text.find("4\r\npart\r\n"), std::string::npos);
+	EXPECT_EQ(text.find("0\r\n\r\n"), std::string::npos);
+}
+
+TEST(EndResponse, EndsConnectionInOrder)
+{
+	TestServer s;
+	TestClient c;
+	std::string text;
+	c.send_bytes(kOldRequest);
+	s.wait_for_requests(1);
+	http_server_begin_response(s.requests[0], 200);
+	http_server_write(s.requests[0], "whole", 5);
+	http_server_end_response(s.requests[0]);
+	EXPECT_EQ(read_to_end(&s, &c, &text), 0);
+	EXPECT_NE(text.find("whole"), std::string::npos);
+}
+
 // A request that lies in the socket when a planned stop begins must be answered.
 TEST(StopAccepting, ServesConnectionsThatAreNotAcceptedYet)
 {
