http: share the test whether an address accepts connections

One function connects, sends nothing and reports once: connected, failed, or not tried (as without descriptors, which must not count as a crash: the crash check treated that as connected, the probe as failed, and both do still). No behaviour changes. t0023, t0026, t0027 and unit-relay_test pass.

--- a/crash/crash-check-task.c
+++ b/crash/crash-check-task.c
@@ -2,7 +2,7 @@
 
 #include <glib.h>
 
-#include "http/address.h"
+#include "http/connect-test.h"
 
 #define CONNECT_TIMEOUT_MS 250
 #define MAX_CHECKS 64 /* at the same time */
@@ -22,51 +22,24 @@
 	struct crash_checks *task;
 	uint64_t server; /* hash of its id */
 	GArray *observations; /* struct crash_observation, valid if it has crashed */
-	uv_tcp_t tcp;
-	uv_connect_t connect;
-	uv_timer_t timer;
-	int open_handles;
-	bool ended;
 };
 
-static void on_closed(uv_handle_t *handle)
-{
-	struct crash_check *k = handle->data;
-
-	if (--k->open_handles)
-		return;
-	g_array_unref(k->observations);
-	g_free(k);
-}
-
 /* A node that reaches no server cannot tell whether one has crashed. */
-static void end_check(struct crash_check *k, bool connected)
+static void on_tested(void *user, enum connect_test_result result)
 {
-	bool crashed =
-		!connected && !server_table_is_cut_off(k->task->servers,
-						       uv_now(k->task->loop));
+	struct crash_check *k = user;
+	bool crashed = result == CONNECT_TEST_FAILED &&
+		       !server_table_is_cut_off(k->task->servers,
+						uv_now(k->task->loop));
 
-	if (k->ended)
-		return;
-	k->ended = true;
 	for (guint i = 0; crashed && i < k->observations->len; i++)
 		crash_keys_add(k->task->keys,
 			       &g_array_index(k->observations,
 					      struct crash_observation, i),
 			       true);
 	g_ptr_array_remove_fast(k->task->checks, k);
-	uv_close((uv_handle_t *)&k->tcp, on_closed);
-	uv_close((uv_handle_t *)&k->timer, on_closed);
-}
-
-static void on_connect(uv_connect_t *req, int status)
-{
-	end_check(req->data, status == 0);
-}
-
-static void on_timeout(uv_timer_t *timer)
-{
-	end_check(timer->data, false);
+	g_array_unref(k->observations);
+	g_free(k);
 }
 
 static struct crash_check *find_check(const struct crash_checks *t,
@@ -85,27 +58,18 @@
 static struct crash_check *connect_to(struct crash_checks *t,
 				      const struct crash_suspicion *s)
 {
-	struct sockaddr_in sa;
-	struct crash_check *k;
+	struct crash_check *k = g_new0(struct crash_check, 1);
 
-	if (!address_parse(s->address, &sa, NULL))
+	if (!connect_test_start(t->loop, s->address, CONNECT_TIMEOUT_MS,
+				on_tested, k)) {
+		g_free(k);
 		return NULL;
-	k = g_new0(struct crash_check, 1);
+	}
 	k->task = t;
 	k->server = s->server;
 	k->observations =
 		g_array_new(FALSE, FALSE, sizeof(struct crash_observation));
-	k->open_handles = 2;
-	k->tcp.data = k->timer.data = k->connect.data = k;
-	uv_tcp_init(t->loop, &k->tcp);
-	uv_timer_init(t->loop, &k->timer);
 	g_ptr_array_add(t->checks, k);
-	uv_timer_start(&k->timer, on_timeout, CONNECT_TIMEOUT_MS, 0);
-	if (uv_tcp_connect(&k->connect, &k->tcp, (struct sockaddr *)&sa,
-			   on_connect)) {
-		end_check(k, true);
-		return NULL;
-	}
 	return k;
 }
 
--- a/relay/probe-task.c
+++ b/relay/probe-task.c
@@ -2,7 +2,7 @@
 
 #include <glib.h>
 
-#include "http/address.h"
+#include "http/connect-test.h"
 #include "log-event.h"
 
 #define CONNECT_TIMEOUT_MS 250
@@ -18,11 +18,6 @@
 struct probe {
 	struct probe_task *task;
 	uint64_t server; /* hash of its id */
-	uv_tcp_t tcp;
-	uv_connect_t connect;
-	uv_timer_t timer;
-	int open_handles;
-	bool ended;
 };
 
 /* Allocates the task, which is never freed. */
@@ -52,30 +47,19 @@
 
 static void start_due_probes(struct probe_task *t, uint64_t now);
 
-static void on_probe_closed(uv_handle_t *handle)
-{
-	struct probe *p = handle->data;
-
-	if (--p->open_handles == 0)
-		g_free(p);
-}
-
-static void end_probe(struct probe *p, bool connected)
+static void on_probed(void *user, enum connect_test_result result)
 {
+	struct probe *p = user;
 	struct probe_task *t = p->task;
 	struct server_record *s = server_find_by_hash(t->servers, p->server);
 	uint64_t now = uv_now(t->loop);
 
-	if (p->ended)
-		return;
-	p->ended = true;
+	g_free(p);
 	t->open_probes--;
-	uv_close((uv_handle_t *)&p->tcp, on_probe_closed);
-	uv_close((uv_handle_t *)&p->timer, on_probe_closed);
 	if (!s)
 		return;
 	s->reach.probing = false;
-	if (!connected) {
+	if (result != CONNECT_TEST_CONNECTED) {
 		probe_task_on_failure(t, s, now);
 		return;
 	}
@@ -83,36 +67,19 @@
 	start_due_probes(t, now);
 }
 
-static void on_connect(uv_connect_t *req, int status)
-{
-	end_probe(req->data, status == 0);
-}
-
-static void on_timeout(uv_timer_t *timer)
-{
-	end_probe(timer->data, false);
-}
-
 static void start_probe(struct probe_task *t, struct server_record *s)
 {
-	struct sockaddr_in sa;
-	struct probe *p;
+	struct probe *p = g_new0(struct probe, 1);
 
-	if (!address_parse(s->address, &sa, NULL))
-		return;
-	p = g_new0(struct probe, 1);
 	p->task = t;
 	p->server = s->hash;
-	p->open_handles = 2;
-	p->tcp.data = p->timer.data = p->connect.data = p;
-	uv_tcp_init(t->loop, &p->tcp);
-	uv_timer_init(t->loop, &p->timer);
+	if (!connect_test_start(t->loop, s->address, CONNECT_TIMEOUT_MS,
+				on_probed, p)) {
+		g_free(p);
+		return;
+	}
 	t->open_probes++;
 	s->reach.probing = true;
-	uv_timer_start(&p->timer, on_timeout, CONNECT_TIMEOUT_MS, 0);
-	if (uv_tcp_connect(&p->connect, &p->tcp, (struct sockaddr *)&sa,
-			   on_connect))
-		end_probe(p, false);
 }
 
 /* Starts the probes that are due, at most MAX_PROBES at the same time. */
