exchange: ask whether a server is still there when its answer states no end

A stream without a length from another node is incomplete: current builds send chunks, older ones end what was reset in order. One more connection per answer without a length.

--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -9,6 +9,7 @@
 #include "exchange/intake-task.h"
 #include "exchange/load-limit.h"
 #include "fleet/fleet-task.h"
+#include "http/connect-test.h"
 #include "invariant.h"
 #include "log-event.h"
 #include "relay/header.h"
@@ -565,17 +566,25 @@
 	}
 }
 
-static void on_call_end(void *user, enum http_client_outcome end)
+/*
+ * Returns whether a node has passed the answer on without a length. Nodes of
+ * older builds do, and end such an answer in order when its server resets it.
+ */
+static bool is_unframed_by_helper(const struct exchange_request *x)
 {
-	struct exchange_request *x = user;
+	return x->helper && ends_by_close(x);
+}
 
-	x->closed = http_client_closed_by_server(x->call);
-	x->call = NULL;
+/* Takes the attempt's result and the next step. */
+static void conclude_attempt(struct exchange_request *x,
+			     enum http_client_outcome end)
+{
 	retry_on_end(&x->answer, end == HTTP_CLIENT_COMPLETE,
 		     end == HTTP_CLIENT_NOT_SENT,
 		     !x->req && end == HTTP_CLIENT_CANCELLED);
 	if (x->answer.result == RETRY_RESULT_COMPLETE && x->streamed &&
-	    (x->events.mid_event || x->stream_status != EVENT_STREAM_OK))
+	    (x->events.mid_event || x->stream_status != EVENT_STREAM_OK ||
+	     is_unframed_by_helper(x)))
 		x->answer.result = RETRY_RESULT_BROKEN;
 	/* Unless a helper says otherwise, a server may have run the request. */
 	if (x->answer.result == RETRY_RESULT_COMPLETE && !x->by_server)
@@ -589,6 +598,55 @@
 	take_next_step(x, end);
 }
 
+/*
+ * Returns whether other connections to the attempt's server are still open: those
+ * of a process that has ended are not.
+ */
+static bool has_open_connections(const struct exchange_request *x)
+{
+	g_autofree char *pool = exchange_pool_name(x->server);
+
+	return http_client_open_connections(x->g->http, pool) > 0;
+}
+
+static void on_end_tested(void *user, enum connect_test_result result)
+{
+	struct exchange_request *x = user;
+	bool is_there =
+		result == CONNECT_TEST_CONNECTED || has_open_connections(x);
+
+	conclude_attempt(x, is_there ? HTTP_CLIENT_COMPLETE
+				     : HTTP_CLIENT_INTERRUPTED);
+}
+
+/*
+ * Starts to find out whether the end of an answer that states none is what its
+ * server meant: the kernel ends the connections of a killed process in the same
+ * way. Returns false if there is nothing to find out.
+ */
+static bool test_end(struct exchange_request *x, enum http_client_outcome end)
+{
+	uint64_t now = gateway_now(x->g);
+
+	if (end != HTTP_CLIENT_COMPLETE || !ends_by_close(x) ||
+	    x->answer.result != RETRY_RESULT_COMPLETE || now >= x->deadline)
+		return false;
+	return connect_test_start(
+		x->g->loop, x->server->address,
+		(uint32_t)MIN(CONNECT_TIMEOUT_MS, x->deadline - now),
+		on_end_tested, x);
+}
+
+static void on_call_end(void *user, enum http_client_outcome end)
+{
+	struct exchange_request *x = user;
+
+	x->closed = http_client_closed_by_server(x->call);
+	x->call = NULL;
+	if (!test_end(x, end))
+		conclude_attempt(x, end);
+}
+
 /* Stores the load that a server reports as "running,waiting,slots". */
 static void read_load_header(struct exchange_request *x, const char *value)
 {
--- a/t/helper/backend.c
+++ b/t/helper/backend.c
@@ -15,6 +15,7 @@
  *   extra         a second response after the right one
  *   unframed      a body without a length, ended by closing the connection
  *   unframed-cut  the same, but the connection is reset
+ *   unframed-late the same, the second half after LONG_EVENT_INTERVAL_MS
  *   cut           closes the connection before the announced length
  *   spoilt        not HTTP
  *   encoded       a content encoding that was not requested
@@ -324,6 +325,11 @@
 		write_text(c, "1\r\n:\r\n");
 		return;
 	}
+	if (!strcmp(c->mode, "unframed-late")) {
+		write_text(c, " body");
+		close_conn(c);
+		return;
+	}
 	if (!strcmp(c->mode, "slow")) {
 		write_response(c, 200, c->id, SEAL_FIELD, "slow body");
 		end_response(c);
@@ -565,8 +571,8 @@
 	else if (g_str_has_prefix(m, "unframed"))
 		write_text(c,
 			   "HTTP/1.1 200 OK\r\nX-Chivegw-Request-Id: "
-			   "%s\r\n" SEAL_FIELD "\r\nunframed body",
-			   c->id);
+			   "%s\r\n" SEAL_FIELD "\r\nunframed%s",
+			   c->id, strcmp(m, "unframed-late") ? " body" : "");
 	else if (!strcmp(m, "slow"))
 		uv_timer_start(&c->timer, on_timer, slow_response_ms, 0);
 	else if (g_str_has_prefix(m, "stream"))
@@ -583,6 +589,8 @@
 		close_conn(c);
 	else if (!strcmp(m, "unframed-cut"))
 		reset_conn(c);
+	else if (!strcmp(m, "unframed-late"))
+		uv_timer_start(&c->timer, on_timer, LONG_EVENT_INTERVAL_MS, 0);
 	else if (!g_str_has_prefix(m, "stream") && strcmp(m, "slow") != 0)
 		end_response(c);
 }
