platform: read the store's answers item by item

A fleet started beside such an entry serves nothing.

Cause: an answer was parsed as one text; one item deeper than json-c's 32 levels made the call fail, and the same call followed, without end. Ruled out: the entry's types (26 levels do no harm), the store (it keeps the entry).

Change: answers are split by strings and brackets, and each item is parsed by itself (platform/envelope.c, pure). A bad one is left out and told in a counted line (E214); if its name can be read, a server of that name is no longer used. An answer that can't be read on gives what comes before; a list goes on after the last name, else a list follows after 0.5 to 8 s (E215).

The stand-in for the store can keep raw texts and cut answers in half.

--- a/Makefile
+++ b/Makefile
@@ -49,7 +49,7 @@
 TASK_SRC = $(wildcard */*-task.c)
 PURE_SLICES = fleet crash relay exchange config member limit route rollout session order usage answer \
 	lease wire
-PURE_SRC = verdict.c rng.c json-check.c backend/placement.c $(filter-out $(TASK_SRC), \
+PURE_SRC = verdict.c rng.c json-check.c backend/placement.c platform/envelope.c $(filter-out $(TASK_SRC), \
 	$(foreach s,$(PURE_SLICES),$(wildcard $(s)/*.c)))
 PURE_OBJ = $(PURE_SRC:%.c=$(BUILD)/%.o)
 
@@ -141,13 +141,13 @@
 	http/message.c platform/translate.c
 fuzz:
 	@t/install-deps.sh clang libclang-rt-14-dev
-	@mkdir -p $(BUILD)/fuzz
+	@mkdir -p $(BUILD)/fuzz/corpus
 	clang -g -O1 -std=gnu11 -fsanitize=fuzzer,address,undefined \
 		$(CPPFLAGS) $(PKG_CFLAGS) -o $(BUILD)/fuzz/parsers \
 		$(FUZZ_SRC) $(PKG_LIBS) -lm
 	$(BUILD)/fuzz/parsers -max_total_time=$(SECONDS) -seed=$(SEED) \
 		-max_len=4096 -print_final_stats=1 \
-		-artifact_prefix=$(BUILD)/fuzz/
+		-artifact_prefix=$(BUILD)/fuzz/ $(BUILD)/fuzz/corpus t/fuzz/corpus
 
 check-pure: $(PURE_OBJ)
 	@t/check-pure.sh $(PURE_SRC) -- $(PURE_OBJ)
--- a/log-event.h
+++ b/log-event.h
@@ -21,6 +21,8 @@
 	X(STORE_DOWN, 210, WARNING, "object API unreachable")                  \
 	X(STORE_UP, 211, MESSAGE, "object API reachable again")                \
 	X(STORE_RESTORED, 213, WARNING, "object API restored from a copy")     \
+	X(ENTRY_BAD, 214, WARNING, "objects left out that cannot be read")     \
+	X(ANSWER_BAD, 215, WARNING, "object API answer cannot be read on")     \
 	X(STORE_CALL, 212, MESSAGE, "object API call ended")                   \
 	X(ORDER_CLAIM_STUCK, 300, WARNING, "order outcome not recorded")       \
 	X(ORDER_LOST, 301, WARNING, "order sent, outcome unknown")             \
--- a/t/fuzz/parsers.c
+++ b/t/fuzz/parsers.c
@@ -15,6 +15,7 @@
 #include "exchange/routes.h"
 #include "http/message.h"
 #include "json-check.h"
+#include "platform/envelope.h"
 #include "platform/translate.h"
 #include "daemon/settings.h"
 #include "order/record.h"
@@ -26,7 +27,7 @@
 /* Splits streams into small chunks, so that events cross their borders. */
 #define EVENT_CHUNK_BYTES 7
 /* Number of cases in LLVMFuzzerTestOneInput(). */
-#define TARGET_COUNT 13
+#define TARGET_COUNT 14
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
@@ -124,6 +125,26 @@
 	json_object_put(object);
 }
 
+/* Reads the text as an answer of the platform's store, and each of its items. */
+static void fuzz_store_answer(const char *text, size_t len)
+{
+	struct envelope e;
+
+	envelope_read(&e, text, len, "items");
+	for (guint i = 0; i < e.items->len; i++) {
+		struct envelope_span span =
+			g_array_index(e.items, struct envelope_span, i);
+		struct json_object *object;
+		struct server_entry entry;
+
+		envelope_is_true(envelope_member(span, "removed"));
+		if (envelope_object(span, &object) == ENVELOPE_OBJECT_GOOD)
+			platform_translate_server(object, &entry);
+		json_object_put(object);
+	}
+	envelope_clear(&e);
+}
+
 static void fuzz_head_and_prompt(const char *text, size_t len)
 {
 	struct prompt_info prompt;
@@ -191,6 +212,9 @@
 	case 11:
 		fuzz_head_and_prompt(text, strlen(text));
 		break;
+	case 12:
+		fuzz_store_answer((const char *)data + 1, size - 1);
+		break;
 	default:
 		session_token_open(text, "key", "org", &pin);
 		break;
--- a/t/helper/objects.c
+++ b/t/helper/objects.c
@@ -40,10 +40,11 @@
 	MODE_SILENT,
 	MODE_RESET,
 	MODE_TRICKLE,
+	MODE_HALF,
 };
 
-static const char *const mode_names[] = {"ok", "busy", "silent", "reset",
-					 "trickle"};
+static const char *const mode_names[] = {"ok",	  "busy",    "silent",
+					 "reset", "trickle", "half"};
 
 struct change {
 	uint64_t revision;
@@ -82,6 +83,8 @@
 	g_autofree char *separator = g_strdup_printf("%s:", view);
 	g_autofree char *viewed = g_strjoinv(separator, pieces);
 
+	if (mode == MODE_HALF && !http_server_header(req, "x-operator"))
+		viewed[strlen(viewed) / 2] = '\0';
 	http_server_add_header(req, "Store-Era", value);
 	http_server_reply_json(req, status, *view ? viewed : json);
 }
@@ -131,17 +134,35 @@
 	end_watch(w, false);
 }
 
+/*
+ * Returns an object's text. If its spec is {"raw":TEXT}, TEXT stands in place of
+ * the spec as it is, also if it is no JSON.
+ */
+static char *object_text(struct json_object *o)
+{
+	const char *raw = jcheck_get_string(jcheck_get(o, "spec"), "raw", NULL);
+
+	if (!raw)
+		return g_strdup(json_object_to_json_string_ext(
+			o, JSON_C_TO_STRING_PLAIN));
+	return g_strdup_printf(
+		"{\"meta\":%s,\"spec\":%s}",
+		json_object_to_json_string_ext(jcheck_get(o, "meta"),
+					       JSON_C_TO_STRING_PLAIN),
+		raw);
+}
+
 static void add_change(const char *kind, struct json_object *object,
 		       bool removed)
 {
 	struct change *c = g_new0(struct change, 1);
+	g_autofree char *text = object_text(object);
 	g_autoptr(GPtrArray) matching = g_ptr_array_new();
 
 	c->revision = revision;
 	c->kind = g_strdup(kind);
-	c->event_json = g_strdup_printf(
-		"{\"removed\":%s,\"object\":%s}", removed ? "true" : "false",
-		json_object_to_json_string_ext(object, JSON_C_TO_STRING_PLAIN));
+	c->event_json = g_strdup_printf("{\"removed\":%s,\"object\":%s}",
+					removed ? "true" : "false", text);
 	g_ptr_array_add(history, c);
 	for (guint i = 0; i < watches->len; i++) {
 		struct watch *w = watches->pdata[i];
@@ -254,11 +275,12 @@
 
 	g_hash_table_iter_init(&it, objects);
 	while (g_hash_table_iter_next(&it, &key, &value)) {
+		g_autofree char *text = NULL;
+
 		if (!g_str_has_prefix(key, prefix))
 			continue;
-		g_string_append_printf(body, "%s%s", is_first ? "" : ",",
-				       json_object_to_json_string_ext(
-					       value, JSON_C_TO_STRING_PLAIN));
+		text = object_text(value);
+		g_string_append_printf(body, "%s%s", is_first ? "" : ",", text);
 		is_first = false;
 	}
 	g_string_append_printf(
