--- a/counters.h
+++ b/counters.h
@@ -37,7 +37,7 @@
 	X(STORE_FAILURES, "store_failures_total",                              \
 	  "calls to the object API that failed")                               \
 	X(BAD_ENTRIES, "bad_entries_total",                                    \
-	  "objects of the object API that could not be read")                 \
+	  "objects of the object API that could not be read")                  \
 	X(PEER_BYTES_OUT, "peer_bytes_out_total", "bytes sent to other nodes") \
 	X(PEER_BYTES_IN, "peer_bytes_in_total",                                \
 	  "bytes received from other nodes")                                   \
