exchange, fleet: end limits and brittleness for nodes that missed their end

What callers would see: a server that once named a limit, or was brittle, gets no request from a node that was cut off from the others while the end was told, for as long as both run. Nodes without a part of the limit, or of a late rank, hear nothing from the server, and the end is repeated for 5 s (30 s) only.

Change: a limit that nobody has confirmed for 25 s is tried by the nodes without a part, one after the other, together at a quarter of it, so that the sum stays within LIMIT's bound if it still holds. A node that tells of a brittle service whose end another node knows is told the end.

Tests, failing before: RateLimit.ALimitThatNobodyConfirmsIsTriedByAllNodes (not tried after 200 s), PeerBrittle.ANodeThatMissedTheEndIsTold. No run of real processes shows the cut; traffic must stop for 25 s for a try to begin.

--- a/exchange/peer-brittle.c
+++ b/exchange/peer-brittle.c
@@ -80,6 +80,37 @@
 	return out->n > 0;
 }
 
+/*
+ * Adds to `reply`, which is empty at first, the end of what another node still
+ * tells of a service, if this one knows it: it may have been told while that node
+ * was cut off.
+ */
+void peer_brittle_correct(const struct server_table *servers, uint64_t now,
+			  const char *node,
+			  const struct fleet_wire_brittle_notice *from,
+			  struct fleet_wire_brittle *reply)
+{
+	const struct brittle_notice *known =
+		g_hash_table_lookup(servers->brittle_services, &from->service);
+
+	if (from->server || !(from->refusals_per_s > 0) || !known ||
+	    known->refusals_per_s > 0 ||
+	    known->answered_at <= now - MIN(now, from->age_ms))
+		return;
+	if (!reply->n)
+		begin_message(reply, node);
+	add_notice(reply, now, from->service, 0, known);
+	for (guint i = 0; i < servers->all->len; i++) {
+		const struct server_record *s = servers->all->pdata[i];
+
+		if (s->service_hash == from->service &&
+		    s->brittle.notice.answered_at &&
+		    !brittle_is_in_force(&s->brittle))
+			add_notice(reply, now, s->service_hash, s->hash,
+				   &s->brittle.notice);
+	}
+}
+
 /* Returns the name of a service by its hash, "-" if no server of it is known. */
 static const char *find_service(const struct server_table *servers,
 				uint64_t hash)
--- a/exchange/peer-brittle.h
+++ b/exchange/peer-brittle.h
@@ -16,6 +16,10 @@
 bool peer_brittle_summary(const struct server_table *servers, uint64_t now,
 			  const char *node, uint32_t start,
 			  struct fleet_wire_brittle *out);
+void peer_brittle_correct(const struct server_table *servers, uint64_t now,
+			  const char *node,
+			  const struct fleet_wire_brittle_notice *from,
+			  struct fleet_wire_brittle *reply);
 bool peer_brittle_apply(struct server_table *servers, uint64_t now,
 			const struct fleet_wire_brittle_notice *from,
 			const char **service, const char **server);
--- a/exchange/rate-limit.c
+++ b/exchange/rate-limit.c
@@ -12,6 +12,10 @@
 #define BASE_NODES 2
 /* How long before it is due a request may be sent, after an idle time. */
 #define BURST_MS 500
+/* For so long a limit holds without an answer that names it. */
+#define UNCONFIRMED_MS 25000
+/* All nodes together try at the rate of the limit, divided by this. */
+#define TRY_DIVISOR 4
 
 /*
  * Returns the rate that a header field names, a decimal number, or 0 if it is
@@ -56,11 +60,29 @@
 	uint32_t senders = MIN(BASE_NODES + (uint32_t)l->per_s, nodes);
 
 	l->share_per_s = rank < senders ? l->per_s / senders : 0;
+	l->rank = rank;
+	l->nodes = nodes;
+}
+
+/* Returns how long so many nodes take to try the server one after the other. */
+static uint64_t tries_ms(const struct rate_limit *l, uint32_t nodes)
+{
+	return (uint64_t)(TRY_DIVISOR * 1000.0 * nodes / l->per_s);
+}
+
+/* Returns when a node without a part may next try whether the limit holds. */
+static uint64_t next_try_at(const struct rate_limit *l)
+{
+	uint64_t first = l->heard_at + UNCONFIRMED_MS + tries_ms(l, l->rank);
+
+	return l->tried_at < l->heard_at
+		       ? first
+		       : MAX(first, l->tried_at + tries_ms(l, l->nodes));
 }
 
 /*
- * Returns from when on this node may send the server a request; UINT64_MAX if
- * it must not.
+ * Returns from when on this node's part allows a request to the server;
+ * UINT64_MAX if it has none.
  */
 uint64_t rate_limit_allowed_at(const struct rate_limit *l)
 {
@@ -74,7 +96,9 @@
 /* Returns whether this node may send the server a request now. */
 bool rate_limit_allows(const struct rate_limit *l, uint64_t now)
 {
-	return now >= rate_limit_allowed_at(l);
+	if (!l->per_s || l->share_per_s > 0 || !l->nodes)
+		return now >= rate_limit_allowed_at(l);
+	return now >= next_try_at(l);
 }
 
 /* Counts a request that is sent to the server. */
@@ -83,4 +107,6 @@
 	if (l->share_per_s > 0)
 		l->next_at = MAX(l->next_at, now) +
 			     (uint64_t)(1000 / l->share_per_s);
+	else
+		l->tried_at = now;
 }
--- a/exchange/rate-limit.h
+++ b/exchange/rate-limit.h
@@ -8,7 +8,8 @@
  * The rate that a server names in its answers for as long as it needs it: the
  * requests a second that it takes from all nodes together. A few nodes, chosen
  * by rank, divide it between them; the others send nothing there. Nodes tell
- * each other what they heard. Times are milliseconds of the node's own clock.
+ * each other what they heard. If nobody has heard it for long, each node tries the
+ * server in turn: the end may have been told while it was cut off. Times are milliseconds of the node's own clock.
  */
 struct rate_limit {
 	double per_s; /* 0: none */
@@ -16,6 +17,10 @@
 	bool heard_here; /* the answer was this node's own */
 	double share_per_s; /* this node's part; 0: it must not send */
 	uint64_t next_at; /* when the next request is due at this rate */
+	uint32_t rank; /* of this node among `nodes` */
+	uint32_t nodes;
+	uint64_t
+		tried_at; /* without a part, since nobody confirmed the limit */
 };
 
 double rate_limit_parse(const char *text);
--- a/fleet/findings-task.c
+++ b/fleet/findings-task.c
@@ -300,7 +300,8 @@
 void findings_task_on_brittle(struct findings_task *t, const uint8_t *bytes,
 			      size_t len, struct member_addr sender)
 {
-	struct fleet_wire_brittle m;
+	struct fleet_wire_brittle m, ends = {.n = 0};
+	uint8_t reply[PEER_WIRE_MAX_BYTES];
 	uint64_t now = gateway_now(t->g);
 
 	if (fleet_wire_decode_brittle(bytes, len, t->g->settings->cluster_key,
@@ -313,6 +314,8 @@
 	for (uint32_t i = m.n; i-- > 0;) {
 		const char *service, *server;
 
+		peer_brittle_correct(&t->g->servers, now, t->g->settings->node,
+				     &m.notice[i], &ends);
 		if (peer_brittle_apply(&t->g->servers, now, &m.notice[i],
 				       &service, &server))
 			log_event(LOG_EVENT_SERVER_BRITTLE,
@@ -325,5 +328,8 @@
 		fleet_task_on_brittle(t->fleet, now);
 	else
 		answer_about_brittle(t, sender);
+	if (ends.n)
+		fleet_task_send(t->fleet, sender, reply,
+				encode_brittle(t, &ends, reply));
 	gateway_serve_pending(t->g);
 }
--- a/t/unit/brittle_test.cc
+++ b/t/unit/brittle_test.cc
@@ -231,6 +231,41 @@
 	EXPECT_FALSE(brittle_is_in_force(to.of("b")));
 }
 
+// A node that was cut off while the end was told must learn it when it tells of
+// what it still believes, however late.
+TEST(PeerBrittle, ANodeThatMissedTheEndIsTold)
+{
+	Servers missed, knows;
+	fleet_wire_brittle m, reply = {};
+	const uint64_t later = 3600000;
+
+	hear(&missed.t, "a", 1000, 3);
+	hear(&knows.t, "a", 1000, 3);
+	hear(&knows.t, "a", 2000, 0);
+	hear(&knows.t, "b", 2000, 0);
+	ASSERT_FALSE(peer_brittle_summary(&knows.t, later, "n", 0, &m));
+	ASSERT_TRUE(peer_brittle_summary(&missed.t, later, "n", 0, &m));
+	for (uint32_t i = 0; i < m.n; i++)
+		peer_brittle_correct(&knows.t, later, "n", &m.notice[i], &reply);
+	apply(missed, reply, later);
+	EXPECT_FALSE(brittle_is_in_force(missed.of("a")));
+	EXPECT_FALSE(brittle_is_in_force(missed.of("b")));
+}
+
+TEST(PeerBrittle, ANewerNoticeIsNotCorrected)
+{
+	Servers from, knows;
+	fleet_wire_brittle m, reply = {};
+
+	hear(&knows.t, "a", 1000, 3);
+	hear(&knows.t, "a", 2000, 0);
+	hear(&from.t, "a", 3000, 3);
+	ASSERT_TRUE(peer_brittle_summary(&from.t, 4000, "n", 0, &m));
+	for (uint32_t i = 0; i < m.n; i++)
+		peer_brittle_correct(&knows.t, 4000, "n", &m.notice[i], &reply);
+	EXPECT_EQ(reply.n, 0u);
+}
+
 TEST(PeerBrittle, AnOlderNoticeDoesNotEndIt)
 {
 	Servers from, to;
--- a/t/unit/exchange_test.cc
+++ b/t/unit/exchange_test.cc
@@ -663,6 +663,55 @@
 	RC_ASSERT(sent.size() >= 0.8 * per_s * 15 - 1);
 }
 
+// A node that is no sender and missed the end of a limit must not leave the server
+// alone for good; while it hears that the limit holds, it must.
+TEST(RateLimit, ALimitThatNobodyConfirmsIsTriedByAllNodes)
+{
+	rate_limit l = {};
+	const uint32_t rank = 70, nodes = 76;
+	uint64_t now = 1000;
+
+	rate_limit_hear(&l, now, 3, false);
+	for (; now < 600000; now += 5000) {
+		rate_limit_hear(&l, now, 3, false);
+		rate_limit_set_rank(&l, rank, nodes);
+		ASSERT_FALSE(rate_limit_allows(&l, now)) << "confirmed at " << now;
+	}
+	while (!rate_limit_allows(&l, now) && now < 800000)
+		rate_limit_set_rank(&l, rank, nodes), now += 100;
+	EXPECT_LT(now, 720000u);
+	rate_limit_count(&l, now);
+	EXPECT_FALSE(rate_limit_allows(&l, now + 1000)) << "one at a time";
+	rate_limit_hear(&l, now, 0, true);
+	EXPECT_TRUE(rate_limit_allows(&l, now + 1));
+}
+
+// Nor may they all do so at once.
+RC_GTEST_PROP(RateLimit, UnconfirmedLimitsAreTriedWithinTheLimit, ())
+{
+	const uint64_t window_ms = 4000;
+	auto nodes = *rc::gen::inRange<uint32_t>(2, 300);
+	double per_s = *rc::gen::inRange(2, 200) / 10.0;
+	std::vector<rate_limit> l(nodes);
+	std::vector<uint64_t> sent;
+
+	for (uint32_t i = 0; i < nodes; i++)
+		rate_limit_hear(&l[i], 1000, per_s, false);
+	for (uint64_t now = 20000; now < 60000; now += 20)
+		for (uint32_t i = 0; i < nodes; i++) {
+			rate_limit_set_rank(&l[i], i, nodes);
+			if (!rate_limit_allows(&l[i], now))
+				continue;
+			rate_limit_count(&l[i], now);
+			sent.push_back(now);
+		}
+	for (size_t first = 0, i = 0; i < sent.size(); i++) {
+		while (sent[i] - sent[first] > window_ms)
+			first++;
+		RC_ASSERT(i - first + 1 <= 1.5 * per_s * 4 + 5);
+	}
+}
+
 TEST(RateLimit, AServerOverItsLimitIsNotPicked)
 {
 	Servers s;
