rollout: let the store's word on orders hold at each node

What callers would see: a node that has reverted a version by itself, while another completes the roll-out, serves nothing of that service once the old servers are gone, until its restart. And an order that is removed while a node lists, or follows another node, goes on to choose versions there.

Cause: a reverted plan stayed so also against the state in the store; a listing marked only servers as removed, and the state of another node only adds orders.

Change: the stored end replaces the plan's. A complete listing ends the orders that it lacks, from the store and from other nodes. E420 tells of removals.

--- a/daemon/gateway.c
+++ b/daemon/gateway.c
@@ -263,6 +263,10 @@
 {
 	struct gateway_state *g = user;
 
+	if (topic == FEED_ROLLOUTS && ended)
+		shift_task_end_listing(g->shifts);
+	else if (topic == FEED_ROLLOUTS)
+		shift_task_begin_listing(g->shifts);
 	if (topic != FEED_SERVERS)
 		return;
 	if (!ended) {
--- a/fleet/state-task.c
+++ b/fleet/state-task.c
@@ -325,6 +325,7 @@
 
 	if (!list || complete_revision <= g->complete_revision[FEED_ROLLOUTS])
 		return;
+	g->feed_handlers->list(g, FEED_ROLLOUTS, false);
 	for (size_t i = 0; i < jcheck_array_length(list); i++) {
 		struct json_object *o = json_object_array_get_idx(list, i);
 		const struct feed_rollout order = {
@@ -341,6 +342,7 @@
 		if (order.service && order.target)
 			g->feed_handlers->rollout(g, &order);
 	}
+	g->feed_handlers->list(g, FEED_ROLLOUTS, true);
 	raise_latest_change(g, FEED_ROLLOUTS, response, "rollouts_changed");
 	advance(g, FEED_ROLLOUTS, complete_revision);
 }
--- a/rollout/shift-task.c
+++ b/rollout/shift-task.c
@@ -21,6 +21,7 @@
 	uint64_t decided_at; /* when the plan became final; 0: not yet */
 	uint64_t next_write_at; /* of the final state */
 	bool writing; /* a write is under way */
+	bool listed; /* present in the listing being applied */
 	uint32_t logged_plan; /* share + state of the plan logged last */
 	struct fleet_wire_sessions unsent_sessions; /* for the other nodes */
 };
@@ -160,10 +161,11 @@
 		o->logged_plan = UINT32_MAX;
 		g_ptr_array_add(t->orders, o);
 	}
+	o->listed = true;
 	o->state = order->state;
 	o->revision = order->revision;
 	if (is_final(order->state))
-		shift_set_state(o->shift, final_shift_state(order->state));
+		shift_set_stored_end(o->shift, final_shift_state(order->state));
 	log_event(LOG_EVENT_ROLLOUT_ORDER,
 		  "service=%s target=%s over_ms=%u state=%d "
 		  "revision=%" G_GUINT64_FORMAT,
@@ -178,8 +180,31 @@
 {
 	struct shift_order *o = find_order(t, service);
 
-	if (o)
-		g_ptr_array_remove(t->orders, o);
+	if (!o)
+		return;
+	log_event(LOG_EVENT_ROLLOUT_ORDER, "service=%s state=removed", service);
+	g_ptr_array_remove(t->orders, o);
+}
+
+/*
+ * Starts a complete listing: orders without a shift_task_on_order() until
+ * shift_task_end_listing() are removed there.
+ */
+void shift_task_begin_listing(struct shift_controller *t)
+{
+	for (guint i = 0; i < t->orders->len; i++)
+		((struct shift_order *)t->orders->pdata[i])->listed = false;
+}
+
+/* Ends a complete listing: orders that it did not have are removed. */
+void shift_task_end_listing(struct shift_controller *t)
+{
+	for (guint i = t->orders->len; i-- > 0;) {
+		const struct shift_order *o = t->orders->pdata[i];
+
+		if (!o->listed)
+			shift_task_on_order_removed(t, o->shift->service);
+	}
 }
 
 static void free_pending_write(struct pending_write *w)
--- a/rollout/shift-task.h
+++ b/rollout/shift-task.h
@@ -22,6 +22,8 @@
 struct shift_controller *shift_task_new(struct gateway_state *g);
 void shift_task_on_order(struct shift_controller *t, uint64_t now,
 			 const struct feed_rollout *order);
+void shift_task_begin_listing(struct shift_controller *t);
+void shift_task_end_listing(struct shift_controller *t);
 void shift_task_on_order_removed(struct shift_controller *t,
 				 const char *service);
 void shift_task_tick(struct shift_controller *t, uint64_t now);
--- a/rollout/shift.c
+++ b/rollout/shift.c
@@ -305,6 +305,16 @@
 		s->plan.share = SHIFT_FULL_SHARE;
 }
 
+/*
+ * Sets the end that the store has for the shift. It holds also for a node that
+ * has decided otherwise: servers leave by what the store says.
+ */
+void shift_set_stored_end(struct traffic_shift *s, enum shift_state end)
+{
+	s->plan.state = end;
+	shift_set_state(s, end);
+}
+
 /* Puts a plan into force unless the state is final. */
 static void apply_plan(struct traffic_shift *s, uint64_t now,
 		       const struct shift_plan *plan)
--- a/rollout/shift.h
+++ b/rollout/shift.h
@@ -169,6 +169,7 @@
 		     const struct shift_report *r);
 void shift_on_plan(struct traffic_shift *s, uint64_t now,
 		   const struct shift_plan *plan);
+void shift_set_stored_end(struct traffic_shift *s, enum shift_state end);
 void shift_set_state(struct traffic_shift *s, enum shift_state state);
 bool shift_detect_regression(struct traffic_shift *s, uint64_t now);
 struct shift_plan shift_update_plan(struct traffic_shift *s, uint64_t now,
