exchange, http: bear odd parts of messages

- A client names the id's field in Connection: the request reached its server without id and model (504).
Fields that identify a request or vouch for its answer are forwarded whatever Connection names, in both directions.
- A server sends a field whose name has a space in it: it was passed on, and two parsers may read it differently.
Fields whose names are no tokens are left out; the answer is served.
- A server states a length with 304 (or 204): the body, which never comes, was awaited until the deadline (504 after 1 s).
These statuses have none.
A 304 is passed on without a length of 0.

Ruled out for the first: rejecting such requests, since the client loses by it and nothing is gained.

--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -156,8 +156,11 @@
 	for (size_t i = 0; i < http_message_fields_count(head); i++) {
 		struct http_message_field f = http_message_field_at(head, i);
 
-		if (!http_message_is_hop_by_hop(head, f.name) &&
-		    !is_internal_header(x, f.name))
+		if (!http_message_is_token(f.name) ||
+		    is_internal_header(x, f.name))
+			continue;
+		if (!http_message_is_hop_by_hop(head, f.name) ||
+		    header_names_is_end_to_end(x->g->header_names, f.name))
 			http_server_add_header(x->req, f.name, f.value);
 	}
 }
--- a/exchange/forward-task.c
+++ b/exchange/forward-task.c
@@ -53,7 +53,8 @@
 
 		if ((is_set_by_gateway(names, f.name) &&
 		     !(x->helper && is_for_helper(names, f.name))) ||
-		    http_message_is_hop_by_hop(fields, f.name))
+		    (http_message_is_hop_by_hop(fields, f.name) &&
+		     !header_names_is_end_to_end(names, f.name)))
 			continue;
 		if (x->model && !g_ascii_strcasecmp(f.name, names->model))
 			continue;
--- a/exchange/header-names.c
+++ b/exchange/header-names.c
@@ -1,5 +1,6 @@
 #include "exchange/header-names.h"
 
+#include <glib.h>
 #include <stddef.h>
 
 static const char *const reserved[] = {NULL};
@@ -28,3 +29,23 @@
 	.any_model = "*",
 	.reserved = reserved,
 };
+
+/*
+ * Returns whether a field concerns the request or its answer as a whole: it is
+ * forwarded even if a Connection field names it, since the server would not know
+ * the request, or the client the answer, without it.
+ */
+bool header_names_is_end_to_end(const struct header_names *names,
+				const char *name)
+{
+	const char *const fields[] = {
+		names->request_id, names->receipt,    names->model,
+		names->tokens,	   names->prefix,     names->session,
+		names->last_event, names->confidence,
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(fields); i++)
+		if (!g_ascii_strcasecmp(name, fields[i]))
+			return true;
+	return false;
+}
--- a/exchange/header-names.h
+++ b/exchange/header-names.h
@@ -1,6 +1,8 @@
 #ifndef EXCHANGE_HEADER_NAMES_H
 #define EXCHANGE_HEADER_NAMES_H
 
+#include <stdbool.h>
+
 /*
  * Names of the header fields that clients, nodes and backend servers exchange
  * about a request. An installation may use other names than the default ones.
@@ -31,4 +33,7 @@
 
 extern const struct header_names header_names_default;
 
+bool header_names_is_end_to_end(const struct header_names *names,
+				const char *name);
+
 #endif
--- a/http/client.c
+++ b/http/client.c
@@ -442,13 +442,18 @@
 	return id && strcmp(id, call->correlation_value) != 0;
 }
 
+/* Returns whether a response has no body, whatever length it states. */
+static bool has_no_body(const http_parser *p)
+{
+	return p->status_code == 204 || p->status_code == 304;
+}
+
 /* Returns how the response states where it ends (RFC 9112, 6.3). */
 static enum http_client_framing framing_of(const http_parser *p)
 {
 	if (p->flags & F_CHUNKED)
 		return HTTP_CLIENT_FRAMING_CHUNKS;
-	if (p->content_length != UINT64_MAX || p->status_code == 204 ||
-	    p->status_code == 304)
+	if (p->content_length != UINT64_MAX || has_no_body(p))
 		return HTTP_CLIENT_FRAMING_LENGTH;
 	return HTTP_CLIENT_FRAMING_CLOSE;
 }
@@ -499,7 +504,7 @@
 	report_head(c);
 	if (!c->call || c->call->ended)
 		return 0;
-	return c->call->head_only ? 1 : 0;
+	return c->call->head_only || has_no_body(p) ? 1 : 0;
 }
 
 static int on_body(http_parser *p, const char *at, size_t len)
--- a/http/message.c
+++ b/http/message.c
@@ -176,21 +176,23 @@
 	return false;
 }
 
-static bool is_token(const char *s)
+/* Returns whether a field name is a valid token (RFC 9110, 5.6.2). */
+bool http_message_is_token(const char *name)
 {
-	if (!*s)
+	if (!*name)
 		return false;
-	for (; *s; s++)
-		if (!g_ascii_isalnum(*s) && !strchr("!#$%&'*+-.^_`|~", *s))
+	for (; *name; name++)
+		if (!g_ascii_isalnum(*name) &&
+		    !strchr("!#$%&'*+-.^_`|~", *name))
 			return false;
 	return true;
 }
 
-/* Returns whether all field names are valid tokens (RFC 9110, 5.6.2). */
+/* Returns whether all field names are, as http_message_is_token(). */
 bool http_message_names_are_tokens(const struct http_message_fields *f)
 {
 	for (size_t i = 0; i < http_message_fields_count(f); i++)
-		if (!is_token(http_message_field_at(f, i).name))
+		if (!http_message_is_token(http_message_field_at(f, i).name))
 			return false;
 	return true;
 }
--- a/http/message.h
+++ b/http/message.h
@@ -38,6 +38,7 @@
 			       const char *name);
 bool http_message_is_hop_by_hop(const struct http_message_fields *f,
 				const char *name);
+bool http_message_is_token(const char *name);
 bool http_message_names_are_tokens(const struct http_message_fields *f);
 
 /* What http_message_scan_head() found. */
--- a/http/server.c
+++ b/http/server.c
@@ -919,7 +919,7 @@
 	g_string_append_len(output, r->headers->str, (gssize)r->headers->len);
 	switch (r->framing) {
 	case HTTP_SERVER_FRAMING_LENGTH:
-		if (length >= 0 && status != 204)
+		if (length >= 0 && status != 204 && status != 304)
 			g_string_append_printf(
 				output,
 				"Content-Length: %" G_GINT64_FORMAT "\r\n",
--- a/t/helper/backend.c
+++ b/t/helper/backend.c
@@ -20,6 +20,8 @@
  *   spoilt        not HTTP
  *   encoded       a content encoding that was not requested
  *   unsealed      no server seal
+ *   odd-field     a header field whose name has a space in it
+ *   not-modified  304 with a length, and no body
  *   slow          responds after SLOW_RESPONSE_MS, or what GET /slow/MS has set
  *   endless-head      header fields without end
  *   endless-interim   interim responses without end
@@ -547,6 +549,14 @@
 	else if (!strcmp(m, "other"))
 		write_response(c, 421, c->id,
 			       "X-Chivegw-Instance-Id: i-another\r\n", "");
+	else if (!strcmp(m, "odd-field"))
+		write_response(c, 200, c->id, SEAL_FIELD "Odd Field: x\r\n",
+			       "good body");
+	else if (!strcmp(m, "not-modified"))
+		write_text(c,
+			   "HTTP/1.1 304 Not Modified\r\nX-Chivegw-Request-Id: "
+			   "%s\r\n" SEAL_FIELD "Content-Length: 9\r\n\r\n",
+			   c->id);
 	else if (!strcmp(m, "unserved"))
 		write_unserved(c);
 	else if (!strcmp(m, "lose"))
--- a/t/unit/http_test.cc
+++ b/t/unit/http_test.cc
@@ -158,6 +158,18 @@
 	EXPECT_EQ(c.body, "some bytes");
 }
 
+// Responses with these statuses have no body, whatever length they state.
+TEST(Client, NotModifiedIsCompleteWithoutTheBodyWhoseLengthItStates)
+{
+	TestClient c;
+	c.start("a");
+	c.wait_for_request();
+	c.server.send_bytes("HTTP/1.1 304 Not Modified\r\nid: a\r\n"
+			    "Content-Length: 9\r\n\r\n");
+	EXPECT_EQ(c.wait_for_outcome(), HTTP_CLIENT_COMPLETE);
+	EXPECT_EQ(c.body, "");
+}
+
 // After a short read libuv reports a reset as an orderly close, by which a cut
 // response without a length would count as complete.
 TEST(Client, ResponseWithoutLengthIsInterruptedByReset)
