--- a/t/t0044-late-in-a-stop.sh
+++ b/t/t0044-late-in-a-stop.sh
@@ -35,6 +35,11 @@
 sleep 1.3
 kill -TERM "${PIDS[route1]}"
 clients=()
+(
+	sleep 0.7 # a second signal must change nothing
+	kill -TERM "${PIDS[route1]}"
+	kill -INT "${PIDS[route1]}"
+) &
 for n in $(seq "$ORDERS"); do
 	order "o-$n" &
 	clients+=($!)
