exchange: wait before asking whether a server is still there

The kernel closes a killed process's sockets one by one; on a busy machine others, and the listening one, are still open when the first end is read. The question was asked at once, and another open connection counted as a sign of life.

Change: the node asks 30 ms after the end, and only a new connection counts. A server that takes no more connections then has an answer without a length counted as incomplete; it is resumed or repeated where that is allowed.

--- a/crash/crash-check-task.c
+++ b/crash/crash-check-task.c
@@ -60,8 +60,9 @@
 {
 	struct crash_check *k = g_new0(struct crash_check, 1);
 
-	if (!connect_test_start(t->loop, s->address, CONNECT_TIMEOUT_MS,
-				on_tested, k)) {
+	const struct connect_test_times times = {0, CONNECT_TIMEOUT_MS};
+
+	if (!connect_test_start(t->loop, s->address, times, on_tested, k)) {
 		g_free(k);
 		return NULL;
 	}
--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -17,6 +17,11 @@
 #include "rollout/shift-task.h"
 
 #define CONNECT_TIMEOUT_MS 250
+/*
+ * After the end of an answer that states none. The kernel closes the sockets of a
+ * killed process one by one, the listening one among them.
+ */
+#define END_TEST_DELAY_MS 30
 #define HELPER_CONNECT_MS                                                      \
 	250 /* that a helper spends on an unreachable server */
 #define MAX_BUFFERED_BODY_BYTES (1024 * 1024) /* of an answer, no stream */
@@ -601,25 +606,11 @@
 	take_next_step(x, end);
 }
 
-/*
- * Returns whether other connections to the attempt's server are still open: those
- * of a process that has ended are not.
- */
-static bool has_open_connections(const struct exchange_request *x)
-{
-	g_autofree char *pool = exchange_pool_name(x->server);
-
-	return http_client_open_connections(x->g->http, pool) > 0;
-}
-
 static void on_end_tested(void *user, enum connect_test_result result)
 {
-	struct exchange_request *x = user;
-	bool is_there =
-		result == CONNECT_TEST_CONNECTED || has_open_connections(x);
-
-	conclude_attempt(x, is_there ? HTTP_CLIENT_COMPLETE
-				     : HTTP_CLIENT_INTERRUPTED);
+	conclude_attempt(user, result == CONNECT_TEST_CONNECTED
+				       ? HTTP_CLIENT_COMPLETE
+				       : HTTP_CLIENT_INTERRUPTED);
 }
 
 /*
@@ -629,15 +620,14 @@
  */
 static bool test_end(struct exchange_request *x, enum http_client_outcome end)
 {
-	uint64_t now = gateway_now(x->g);
+	const struct connect_test_times times = {END_TEST_DELAY_MS,
+						 CONNECT_TIMEOUT_MS};
 
 	if (end != HTTP_CLIENT_COMPLETE || !ends_by_close(x) ||
-	    x->answer.result != RETRY_RESULT_COMPLETE || now >= x->deadline)
+	    x->answer.result != RETRY_RESULT_COMPLETE)
 		return false;
-	return connect_test_start(
-		x->g->loop, x->server->address,
-		(uint32_t)MIN(CONNECT_TIMEOUT_MS, x->deadline - now),
-		on_end_tested, x);
+	return connect_test_start(x->g->loop, x->server->address, times,
+				  on_end_tested, x);
 }
 
 static void on_call_end(void *user, enum http_client_outcome end)
--- a/http/connect-test.c
+++ b/http/connect-test.c
@@ -11,6 +11,8 @@
 	uv_tcp_t tcp;
 	uv_connect_t connect;
 	uv_timer_t timer;
+	struct sockaddr_in address;
+	uint32_t timeout_ms;
 	unsigned int open_handles;
 	enum connect_test_result result;
 	bool ended;
@@ -47,13 +49,27 @@
 	end_test(timer->data, CONNECT_TEST_FAILED);
 }
 
+static void begin(struct connect_test *t)
+{
+	uv_timer_start(&t->timer, on_timeout, t->timeout_ms, 0);
+	if (uv_tcp_connect(&t->connect, &t->tcp, (struct sockaddr *)&t->address,
+			   on_connect))
+		end_test(t, CONNECT_TEST_NOT_TRIED);
+}
+
+static void on_delay_over(uv_timer_t *timer)
+{
+	begin(timer->data);
+}
+
 /*
  * Connects to "ip:port", sends nothing and closes. Calls cb once from the loop,
- * after timeout_ms at the latest. Returns false, without calling cb, if the
+ * after both times at the latest. Returns false, without calling cb, if the
  * address is malformed.
  */
 bool connect_test_start(uv_loop_t *loop, const char *address,
-			uint32_t timeout_ms, connect_test_cb cb, void *user)
+			struct connect_test_times times, connect_test_cb cb,
+			void *user)
 {
 	struct sockaddr_in sa;
 	struct connect_test *t;
@@ -63,13 +79,15 @@
 	t = g_new0(struct connect_test, 1);
 	t->cb = cb;
 	t->user = user;
+	t->address = sa;
+	t->timeout_ms = times.timeout_ms;
 	t->open_handles = 2;
 	t->tcp.data = t->timer.data = t->connect.data = t;
 	uv_tcp_init(loop, &t->tcp);
 	uv_timer_init(loop, &t->timer);
-	uv_timer_start(&t->timer, on_timeout, timeout_ms, 0);
-	if (uv_tcp_connect(&t->connect, &t->tcp, (struct sockaddr *)&sa,
-			   on_connect))
-		end_test(t, CONNECT_TEST_NOT_TRIED);
+	if (times.delay_ms)
+		uv_timer_start(&t->timer, on_delay_over, times.delay_ms, 0);
+	else
+		begin(t);
 	return true;
 }
--- a/http/connect-test.h
+++ b/http/connect-test.h
@@ -13,7 +13,14 @@
 
 typedef void (*connect_test_cb)(void *user, enum connect_test_result result);
 
+/* When to connect, and how long that may take; in ms. */
+struct connect_test_times {
+	uint32_t delay_ms;
+	uint32_t timeout_ms;
+};
+
 bool connect_test_start(uv_loop_t *loop, const char *address,
-			uint32_t timeout_ms, connect_test_cb cb, void *user);
+			struct connect_test_times times, connect_test_cb cb,
+			void *user);
 
 #endif
--- a/relay/probe-task.c
+++ b/relay/probe-task.c
@@ -69,12 +69,12 @@
 
 static void start_probe(struct probe_task *t, struct server_record *s)
 {
+	const struct connect_test_times times = {0, CONNECT_TIMEOUT_MS};
 	struct probe *p = g_new0(struct probe, 1);
 
 	p->task = t;
 	p->server = s->hash;
-	if (!connect_test_start(t->loop, s->address, CONNECT_TIMEOUT_MS,
-				on_probed, p)) {
+	if (!connect_test_start(t->loop, s->address, times, on_probed, p)) {
 		g_free(p);
 		return;
 	}
--- a/t/t0045-killed-servers.sh
+++ b/t/t0045-killed-servers.sh
@@ -64,7 +64,7 @@
 [ "$cut" -gt 0 ] || fail "no stream ran at the server that was killed"
 cut=0
 for n in $(seq "$STREAMS"); do expect_no_false_end "talk-$n"; done
-expect "resumable streams that were cut" 0 "$cut"
+[ "$cut" = 0 ] || { grep -hE "E70[0137]" "$WORK"/route*.log | grep -vE "outcome=answered" | tail -n 40; fail "$cut resumable streams were cut"; }
 
 say "a server is killed while it sends answers without a length that are no streams"
 start_backend 3 desk
@@ -110,5 +110,5 @@
 [ "$cut" -gt 0 ] || fail "no stream ran by way of the node that was killed"
 cut=0
 for n in $(seq "$STREAMS"); do expect_no_false_end "helped-talk-$n"; done
-expect "resumable streams that were cut" 0 "$cut"
+[ "$cut" = 0 ] || { grep -hE "E70[0137]" "$WORK"/route*.log | grep -vE "outcome=answered" | tail -n 40; fail "$cut resumable streams were cut"; }
 say "killed servers: passed"
