--- a/exchange/rate-limit.h
+++ b/exchange/rate-limit.h
@@ -9,7 +9,8 @@
  * requests a second that it takes from all nodes together. A few nodes, chosen
  * by rank, divide it between them; the others send nothing there. Nodes tell
  * each other what they heard. If nobody has heard it for long, each node tries the
- * server in turn: the end may have been told while it was cut off. Times are milliseconds of the node's own clock.
+ * server in turn: the end may have been told while it was cut off. Times are
+ * milliseconds of the node's own clock.
  */
 struct rate_limit {
 	double per_s; /* 0: none */
@@ -19,8 +20,7 @@
 	uint64_t next_at; /* when the next request is due at this rate */
 	uint32_t rank; /* of this node among `nodes` */
 	uint32_t nodes;
-	uint64_t
-		tried_at; /* without a part, since nobody confirmed the limit */
+	uint64_t tried_at; /* without a part; see above */
 };
 
 double rate_limit_parse(const char *text);
--- a/t/lib-routes.sh
+++ b/t/lib-routes.sh
@@ -115,6 +115,28 @@
 	echo "$total"
 }
 
+# start_stream NAME NODE PATH [CURL ARGUMENTS]: reads a stream in the background. Its head
+# and body go to $WORK/NAME.head and $WORK/NAME.body, the exit code of curl, 0 if it
+# ended as complete, to $WORK/NAME.code. Its process is added to `readers`.
+readers=()
+start_stream() {
+	local name=$1 node=$2 path=$3
+	shift 3
+	{
+		curl -sN -m 20 -o "$WORK/$name.body" -D "$WORK/$name.head" -X POST -H "Host: $HOST" \
+			-H "Authorization: Token $ROUTE_KEY" -H "X-Chivegw-Request-Id: $name" \
+			-H 'X-Chivegw-Model: large' -d x "$@" "http://$(client_address "$node")$path"
+		echo $? >"$WORK/$name.code"
+	} &
+	readers+=($!)
+}
+wait_for_streams() {
+	wait "${readers[@]}"
+	readers=()
+}
+# stream_events NAME: how many events the stream had.
+stream_events() { grep -c '^data: ' "$WORK/$1.body"; }
+
 # run_line ID: the line that each backend server has of the request's run.
 run_line() {
 	local n
--- a/t/t0042-stream-ends.sh
+++ b/t/t0042-stream-ends.sh
@@ -17,42 +17,20 @@
 start_route_node 1
 wait_route_ready 1
 
-# stream NAME NODE PATH [CURL ARGUMENTS]: reads a stream in the background; its body
-# goes to $WORK/NAME.body, the exit code of curl, 0 if it ended as complete, to
-# $WORK/NAME.code.
-stream() {
-	local name=$1 node=$2 path=$3
-	shift 3
-	{
-		curl -sN -m 20 -o "$WORK/$name.body" -D "$WORK/$name.head" -X POST -H "Host: $HOST" \
-			-H "Authorization: Token $ROUTE_KEY" -H "X-Chivegw-Request-Id: $name" \
-			-H 'X-Chivegw-Model: large' -d x "$@" "http://$(client_address "$node")$path"
-		echo $? >"$WORK/$name.code"
-	} &
-	readers+=($!)
-}
-readers=()
-wait_for_streams() {
-	wait "${readers[@]}"
-	readers=()
-}
-
-events() { grep -c '^data: ' "$WORK/$1.body"; }
-
 # expect_whole NAME, expect_cut NAME: how the stream looked to its client.
 expect_whole() {
 	expect "exit code of curl for $1" 0 "$(cat "$WORK/$1.code")"
-	expect "events of $1" "$EVENTS" "$(events "$1")"
+	expect "events of $1" "$EVENTS" "$(stream_events "$1")"
 }
 expect_cut() {
-	[ "$(events "$1")" -lt "$EVENTS" ] || fail "$1 was not cut short"
+	[ "$(stream_events "$1")" -lt "$EVENTS" ] || fail "$1 was not cut short"
 	[ "$(cat "$WORK/$1.code")" != 0 ] ||
-		fail "$1 ended as complete after $(events "$1") of $EVENTS events"
+		fail "$1 ended as complete after $(stream_events "$1") of $EVENTS events"
 }
 
 say "streams that end by themselves are complete"
-stream whole 1 /once/stream-unframed-pause
-stream whole-old-client 1 /once/stream-unframed-pause --http1.0
+start_stream whole 1 /once/stream-unframed-pause
+start_stream whole-old-client 1 /once/stream-unframed-pause --http1.0
 wait_for_streams
 expect_whole whole
 grep -qi "^transfer-encoding: chunked" "$WORK/whole.head" ||
@@ -60,8 +38,8 @@
 expect_whole whole-old-client
 
 say "a server resets streams without a length"
-stream reset 1 /once/stream-unframed-pause
-stream reset-old-client 1 /once/stream-unframed-pause --http1.0
+start_stream reset 1 /once/stream-unframed-pause
+start_stream reset-old-client 1 /once/stream-unframed-pause --http1.0
 sleep "$TROUBLE_AFTER_S"
 curl -fs -m 5 -o /dev/null "http://$(backend_address 1)/crash"
 wait_for_streams
@@ -70,8 +48,8 @@
 
 say "a node is killed while it passes on streams without a length"
 start_backend 2 desk # the first one has crashed lately
-stream killed 1 /once/stream-unframed-pause
-stream killed-old-client 1 /once/stream-unframed-pause --http1.0
+start_stream killed 1 /once/stream-unframed-pause
+start_stream killed-old-client 1 /once/stream-unframed-pause --http1.0
 sleep "$TROUBLE_AFTER_S"
 crash route1
 wait_for_streams
--- a/t/t0045-killed-servers.sh
+++ b/t/t0045-killed-servers.sh
@@ -13,21 +13,6 @@
 
 once='{"name":"once","host":"'$HOST'","path_prefix":"/once/","kind":"streaming","timeout_ms":15000,"goal_ms":2000,"gap_aim_ms":1000,"priority":1,"service":"desk","attempts":1,"public":true}'
 
-# stream NAME NODE PATH: reads a stream in the background; its body goes to
-# $WORK/NAME.body, the exit code of curl, 0 if it ended as complete, to
-# $WORK/NAME.code.
-stream() {
-	{
-		curl -sN -m 20 -o "$WORK/$1.body" -X POST -H "Host: $HOST" \
-			-H "Authorization: Token $ROUTE_KEY" -H "X-Chivegw-Request-Id: $1" \
-			-H 'X-Chivegw-Model: large' -d x "http://$(client_address "$2")$3"
-		echo $? >"$WORK/$1.code"
-	} &
-	readers+=($!)
-}
-readers=()
-events() { grep -c '^data: ' "$WORK/$1.body"; }
-
 # expect_no_false_end NAME: a stream that looks complete has all events, in order.
 cut=0
 expect_no_false_end() {
@@ -45,21 +30,19 @@
 wait_route_ready 1
 
 say "streams without a length that end by themselves are complete"
-stream whole 1 /once/stream-unframed-pause
-wait "${readers[@]}"
-readers=()
+start_stream whole 1 /once/stream-unframed-pause
+wait_for_streams
 expect_no_false_end whole
 expect "streams that were cut" 0 "$cut"
 
 say "a server is killed while streams without a length run"
 for n in $(seq "$STREAMS"); do
-	stream "once-$n" 1 /once/stream-unframed-pause
-	stream "talk-$n" 1 /talk/stream-unframed-pause
+	start_stream "once-$n" 1 /once/stream-unframed-pause
+	start_stream "talk-$n" 1 /talk/stream-unframed-pause
 done
 sleep "$TROUBLE_AFTER_S"
 crash backend1
-wait "${readers[@]}"
-readers=()
+wait_for_streams
 for n in $(seq "$STREAMS"); do expect_no_false_end "once-$n"; done
 [ "$cut" -gt 0 ] || fail "no stream ran at the server that was killed"
 cut=0
@@ -77,10 +60,10 @@
 	send_late "$n" &
 	readers+=($!)
 done
-sleep 0.4
+runs_late() { curl -fs -m 5 "http://$(backend_address 2)/ran" | grep -q "^late-"; }
+until_true 3 runs_late || fail "no such answer runs at the server that is to be killed"
 crash backend2
-wait "${readers[@]}"
-readers=()
+wait_for_streams
 for n in $(seq "$STREAMS"); do
 	[ "$(cat "$WORK/late-$n.status")" != 200 ] || expect "body of late-$n" "unframed body" "$(cat "$WORK/late-$n")"
 done
@@ -99,12 +82,12 @@
 curl -fs -m 2 -o /dev/null "http://$(backend_address 4)/cut/2/refuse" || fail "backend4 does not cut"
 until_true 5 grep -q 'E717.*server=i-4.*reached=0' "$WORK/route1.log" || send 1 GET /read/ok >/dev/null
 for n in $(seq "$STREAMS"); do
-	stream "helped-$n" 1 /once/stream-unframed-pause
-	stream "helped-talk-$n" 1 /talk/stream-unframed-pause
+	start_stream "helped-$n" 1 /once/stream-unframed-pause
+	start_stream "helped-talk-$n" 1 /talk/stream-unframed-pause
 done
 sleep "$TROUBLE_AFTER_S"
 crash route2
-wait "${readers[@]}"
+wait_for_streams
 cut=0
 for n in $(seq "$STREAMS"); do expect_no_false_end "helped-$n"; done
 [ "$cut" -gt 0 ] || fail "no stream ran by way of the node that was killed"
