exchange: ask another node than the one that has just failed

What callers saw: a resumable stream cut, once in 4 to 10 plays of t0045 at loads of 9 to 20. Cause, by the attempts that the test prints since: the node that helps is killed, the stream is resumed by way of the same node (the fewest requests in flight) on a connection not closed yet, is reset after 1 ms, and the route's attempts are used up (E701 attempt=2 framing=chunks closed=fin, then attempt=3 closed=reset, next=break-off).

Change: a request does not ask the node again that failed its last attempt, unless it is the only one.

t0045 and t0042 count an answer that is no 200 as not complete: "events of once-1 ... got ''" in one play at load 20 was such an answer or a stream without events; its log is gone, and the test now tells them apart.

--- a/exchange/exchange.h
+++ b/exchange/exchange.h
@@ -41,6 +41,7 @@
 	bool relayed; /* another node has passed it on to this one */
 	struct relay_helper *helper; /* that the attempt goes to, or NULL */
 	uint32_t granted; /* attempts that the helper may make */
+	guint failed_helper; /* of the last attempt: hash of its name; 0: none */
 
 	/* The attempt in progress. */
 	struct http_client_call *call;
--- a/exchange/relay-task.c
+++ b/exchange/relay-task.c
@@ -58,23 +58,28 @@
 /*
  * Chooses the node that serves the next attempt, since this one reaches none of
  * the service's servers. The helper keeps one of the attempts that are left for a
- * break between the nodes. Returns false if there is none.
+ * break between the nodes. The node that has just failed is not asked again, unless
+ * it is the only one: it has the fewest requests then, and may be gone. Returns false
+ * if there is none.
  */
 bool exchange_choose_helper(struct exchange_request *x, uint64_t now)
 {
 	const struct member_update *members[MAX_CANDIDATES];
 	struct relay_candidate candidates[MAX_CANDIDATES];
 	uint32_t n = find_candidates(x, members);
+	uint32_t kept = 0;
 	uint32_t left = x->retry.max_sent > x->retry.sent
 				? x->retry.max_sent - x->retry.sent
 				: 1;
 
 	for (uint32_t i = 0; i < n; i++)
-		describe_member(members[i], &candidates[i]);
-	x->helper = relay_helpers_choose(&x->g->helpers, now, candidates, n);
+		if (n == 1 || g_str_hash(members[i]->name) != x->failed_helper)
+			describe_member(members[i], &candidates[kept++]);
+	x->helper = relay_helpers_choose(&x->g->helpers, now, candidates, kept);
 	if (!x->helper)
 		return false;
 	x->server = &x->helper->record;
+	x->failed_helper = 0;
 	x->granted = left > 1 ? left - 1 : 1;
 	x->rollout_active = false;
 	x->fills = false;
@@ -108,6 +113,12 @@
 					    : SERVER_CALL_FAILED;
 }
 
+/* Returns the hash of a helper's name, which its id has behind "node:". */
+static guint name_hash(const struct relay_helper *helper)
+{
+	return g_str_hash(strchr(helper->record.id, ':') + 1);
+}
+
 /*
  * Updates what is known of the helper by the attempt that has ended. What it
  * says it did not run counts as unsent: another node may be asked.
@@ -127,12 +138,16 @@
 		break;
 	case RETRY_RESULT_COMPLETE:
 	case RETRY_RESULT_UNSERVED:
-	case RETRY_RESULT_BROKEN:
 	case RETRY_RESULT_WEAK:
 	case RETRY_RESULT_CANCELLED:
 		x->retry.sent += x->granted - 1;
 		break;
+	case RETRY_RESULT_BROKEN:
+		x->retry.sent += x->granted - 1;
+		x->failed_helper = name_hash(x->helper);
+		break;
 	case RETRY_RESULT_UNSENT:
+		x->failed_helper = name_hash(x->helper);
 		break;
 	}
 }
--- a/t/lib-routes.sh
+++ b/t/lib-routes.sh
@@ -134,6 +134,10 @@
 	wait "${readers[@]}"
 	readers=()
 }
+# stream_is_complete NAME: whether the answer is a stream that ended as complete.
+stream_is_complete() {
+	grep -q '^HTTP/1.1 200' "$WORK/$1.head" && [ "$(cat "$WORK/$1.code")" = 0 ]
+}
 # stream_events NAME: how many events the stream had.
 stream_events() { grep -c '^data: ' "$WORK/$1.body"; }
 
--- a/t/t0042-stream-ends.sh
+++ b/t/t0042-stream-ends.sh
@@ -19,7 +19,7 @@
 
 # expect_whole NAME, expect_cut NAME: how the stream looked to its client.
 expect_whole() {
-	expect "exit code of curl for $1" 0 "$(cat "$WORK/$1.code")"
+	stream_is_complete "$1" || fail "$1 did not end as complete: $(head -n 1 "$WORK/$1.head")"
 	expect "events of $1" "$EVENTS" "$(stream_events "$1")"
 }
 expect_cut() {
--- a/t/t0045-killed-servers.sh
+++ b/t/t0045-killed-servers.sh
@@ -18,7 +18,7 @@
 expect_no_false_end() {
 	local whole
 	whole=$(seq -f 'data: part%g' "$EVENTS")
-	[ "$(cat "$WORK/$1.code")" = 0 ] || { cut=$((cut + 1)); return; }
+	stream_is_complete "$1" || { cut=$((cut + 1)); return; }
 	expect "events of $1, which ended as complete" "$whole" "$(grep '^data: ' "$WORK/$1.body")"
 }
 
