json-span: split JSON texts outside platform/; keep a list before a cut key

What splits texts knows no platform names and moves to json-span.c; platform/envelope.c keeps what an answer of the store is.

Also: an answer cut inside the key behind its list lost all items of the list. Space behind a revision is still accepted, with a test.

--- a/t/fuzz/parsers.c
+++ b/t/fuzz/parsers.c
@@ -132,12 +132,12 @@
 
 	envelope_read(&e, text, len, "items");
 	for (guint i = 0; i < e.items->len; i++) {
-		struct envelope_span span =
-			g_array_index(e.items, struct envelope_span, i);
+		struct json_span span =
+			g_array_index(e.items, struct json_span, i);
 		struct json_object *object;
 		struct server_entry entry;
 
-		envelope_is_true(envelope_member(span, "removed"));
+		json_span_is_true(json_span_member(span, "removed"));
 		if (envelope_object(span, &object) == ENVELOPE_OBJECT_GOOD)
 			platform_translate_server(object, &entry);
 		json_object_put(object);
--- a/t/unit/envelope_test.cc
+++ b/t/unit/envelope_test.cc
@@ -42,7 +42,7 @@
 	for (guint i = 0; i < e->items->len; i++) {
 		json_object *o;
 		envelope_object_state state = envelope_object(
-			g_array_index(e->items, envelope_span, i), &o);
+			g_array_index(e->items, json_span, i), &o);
 		const char *name = platform_object_name(o);
 		names.push_back(std::string(name ? name : "-") +
 				(state == ENVELOPE_OBJECT_GOOD ? "" : "!"));
@@ -123,6 +123,29 @@
 						   "-!"}));
 }
 
+// The place where an answer ends may lie inside the key behind the list.
+TEST(Envelope, KeepsTheListBeforeAKeyThatIsCut)
+{
+	envelope e;
+	const auto names = names_in("{\"items\":[" + item("a", "1") +
+					    "],\"has_mo",
+				    &e);
+	EXPECT_EQ(names, std::vector<std::string>{"a"});
+	EXPECT_FALSE(e.whole);
+	envelope_clear(&e);
+}
+
+TEST(Envelope, BearsSpaceAnywhere)
+{
+	const char *text = " { \"items\" : [ { } , 7 ] ,\n\t\"as_of\" : 42 \r\n}";
+	envelope e;
+	EXPECT_TRUE(envelope_read(&e, text, strlen(text), "items"));
+	EXPECT_EQ(e.items->len, 2u);
+	EXPECT_TRUE(e.whole && e.has_revision);
+	EXPECT_EQ(e.revision, 42u);
+	envelope_clear(&e);
+}
+
 TEST(Envelope, RejectsWhatHasNoList)
 {
 	for (const char *text :
