fleet: tell loads less often and mostly in the own zone in large fleets

Weighed: digests by zone that one node passes on; they would need that node to send some 100 KB/s on links of 10 Mbit/s, and to be replaced at once. Change: above 120 nodes a message is sent each (nodes / 100) ticks, to 12 nodes of the own zone and 4 others, and is kept for as much longer. Loads name the zone of their sender in an appended field, which older builds do not read. Up to 120 nodes nothing changes.

--- a/exchange/peer-loads.c
+++ b/exchange/peer-loads.c
@@ -13,6 +13,13 @@
 {
 	l->nodes =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	peer_loads_set_interval(l, 1);
+}
+
+/* Keeps reports for longer if nodes send them each so many ticks only. */
+void peer_loads_set_interval(struct peer_loads *l, uint32_t ticks)
+{
+	l->max_age_ms = (uint64_t)PEER_LOADS_MAX_AGE_MS * ticks;
 }
 
 /* Frees the reports. */
@@ -35,12 +42,19 @@
 	n->report = *report;
 }
 
-static gboolean is_stale(gpointer key, gpointer value, gpointer now)
+/* A time and the oldest report that still counts then. */
+struct report_age {
+	uint64_t now;
+	uint64_t max_ms;
+};
+
+static gboolean is_stale(gpointer key, gpointer value, gpointer user)
 {
 	const struct peer_loads_node *n = value;
+	const struct report_age *age = user;
 
 	(void)key;
-	return *(uint64_t *)now - n->received_at > PEER_LOADS_MAX_AGE_MS;
+	return age->now - n->received_at > age->max_ms;
 }
 
 static void add_report(struct server_table *t,
@@ -60,15 +74,16 @@
 
 /*
  * Sets the peer_* fields of all servers to the sums over the reports. Reports
- * older than PEER_LOADS_MAX_AGE_MS are dropped first.
+ * that are too old are dropped first.
  */
 void peer_loads_apply(struct peer_loads *l, uint64_t now,
 		      struct server_table *servers)
 {
 	GHashTableIter it;
 	void *value;
+	struct report_age age = {now, l->max_age_ms};
 
-	g_hash_table_foreach_remove(l->nodes, is_stale, &now);
+	g_hash_table_foreach_remove(l->nodes, is_stale, &age);
 	for (guint i = 0; i < servers->all->len; i++) {
 		struct server_record *s = servers->all->pdata[i];
 
--- a/fleet/fleet-task.c
+++ b/fleet/fleet-task.c
@@ -10,6 +10,7 @@
 #include "exchange/peer-limits.h"
 #include "fleet/builds.h"
 #include "fleet/findings-task.h"
+#include "fleet/load-plan.h"
 #include "fleet/member-transfer.h"
 #include "fleet/peer-news.h"
 #include "fleet/rank.h"
@@ -34,7 +35,7 @@
 #define MAX_BEHIND_MS 500 /* then the state of a peer that knows more is read */
 #define SOURCE_STATUS_INTERVAL_MS 200
 #define WATCH_ROLE "watch" /* nodes that watch the source, by rank */
-#define LOAD_FANOUT 16 /* nodes that a load message is sent to */
+#define LIMIT_FANOUT 16 /* nodes that servers' limits are sent to */
 #define BRITTLE_RANK_INTERVAL_MS 1000
 #define EVALUATORS 2 /* nodes that get a roll-out's reports, by rank */
 
@@ -49,6 +50,8 @@
 	bool sent_load; /* the last load message held at least one */
 	uint64_t sent_changed[FEED_TOPIC_COUNT]; /* in that message */
 	uint32_t idle_ticks; /* since that message */
+	uint32_t load_ticks; /* since that message, idle or not */
+	GHashTable *zone_peers; /* set of names: nodes in this node's zone */
 	struct tenure tenure;
 	struct builds_watch builds;
 	uint64_t ticked_at; /* ms */
@@ -364,32 +367,82 @@
 }
 
 /*
- * Sends the load that this node puts on the servers to LOAD_FANOUT live
- * members, starting at a random one. Without a load it sends more seldom;
- * the message still says which changes this node knows, at once if these are
- * new.
+ * Sends a message to some live members of each kind, from a random one on: those
+ * known to be in this node's zone, and others. What one kind lacks goes to the
+ * other.
  */
-static void send_loads(struct fleet_task *t)
+static void send_by_zone(struct fleet_task *t, const struct load_plan *plan,
+			 const uint8_t *bytes, size_t len)
 {
 	const GArray *members = t->members.members;
+	uint32_t own = plan->own_zone;
+	uint32_t others = plan->others;
+	uint32_t peers = g_hash_table_size(t->zone_peers);
+	guint start = members->len ? rng_below(&t->g->rng, members->len) : 0;
+
+	if (peers < own) {
+		others += own - peers;
+		own = peers;
+	}
+	for (guint i = 0; i < members->len && own + others; i++) {
+		const struct member_entry *m =
+			&g_array_index(members, struct member_entry,
+				       (start + i) % members->len);
+		uint32_t *left = g_hash_table_contains(t->zone_peers,
+						       m->info.name)
+					 ? &own
+					 : &others;
+
+		if (m->info.state != MEMBER_ALIVE || !*left)
+			continue;
+		fleet_task_send(t, m->info.addr, bytes, len);
+		--*left;
+	}
+}
+
+/* Returns whether the node's loads are to be sent in this tick. */
+static bool loads_are_due(struct fleet_task *t, const struct load_plan *plan,
+			  const struct fleet_wire_loads *l, bool any)
+{
+	bool changed = memcmp(t->sent_changed, l->changed,
+			      sizeof(l->changed)) != 0;
+
+	t->load_ticks++;
+	if (!t->members.members->len)
+		return false;
+	if (changed)
+		return true;
+	if (!any && !t->sent_load && t->idle_ticks++ < IDLE_TICKS)
+		return false;
+	return t->load_ticks >= plan->interval_ticks;
+}
+
+/*
+ * Sends the load that this node puts on the servers to some live members, as the
+ * size of the fleet allows. Without a load it sends more seldom; the message
+ * still says which changes this node knows, at once if these are new.
+ */
+static void send_loads(struct fleet_task *t)
+{
 	uint8_t bytes[PEER_WIRE_MAX_BYTES];
 	struct fleet_wire_loads l;
 	bool any = peer_loads_report(&t->g->servers, t->g->settings->node, &l);
+	struct load_plan plan = load_plan_for(fleet_task_live_count(t));
 	size_t len;
 
+	peer_loads_set_interval(&t->g->peer_loads, plan.interval_ticks);
+	g_strlcpy(l.zone, t->g->settings->zone, sizeof(l.zone));
 	for (int i = 0; i < FEED_TOPIC_COUNT; i++)
 		l.changed[i] = t->g->latest_revision[i];
-	if (!members->len ||
-	    (!any && !t->sent_load &&
-	     !memcmp(t->sent_changed, l.changed, sizeof(l.changed)) &&
-	     t->idle_ticks++ < IDLE_TICKS))
+	if (!loads_are_due(t, &plan, &l, any))
 		return;
 	t->sent_load = any;
 	t->idle_ticks = 0;
+	t->load_ticks = 0;
 	memcpy(t->sent_changed, l.changed, sizeof(l.changed));
 	len = fleet_wire_encode_loads(&l, t->g->settings->cluster_key, bytes,
 				      sizeof(bytes));
-	fleet_task_send_to_some(t, LOAD_FANOUT, bytes, len);
+	send_by_zone(t, &plan, bytes, len);
 }
 
 /* Sends what servers have said to this node of their limits. */
@@ -401,7 +454,7 @@
 	if (!peer_limits_report(&t->g->servers, now, t->g->settings->node, &l))
 		return;
 	fleet_task_send_to_some(
-		t, LOAD_FANOUT, bytes,
+		t, LIMIT_FANOUT, bytes,
 		fleet_wire_encode_limits(&l, t->g->settings->cluster_key, bytes,
 					 sizeof(bytes)));
 }
@@ -726,6 +779,18 @@
 		peer_state_request(t->g->peer_state, now, ip_of(from));
 }
 
+/* Records in which zone a node says that it is. */
+static void learn_zone(struct fleet_task *t, const struct fleet_wire_loads *l)
+{
+	/* Names of nodes that were replaced; the others tell theirs again. */
+	if (g_hash_table_size(t->zone_peers) > 2 * t->members.members->len + 1)
+		g_hash_table_remove_all(t->zone_peers);
+	if (strcmp(l->zone, t->g->settings->zone) != 0)
+		g_hash_table_remove(t->zone_peers, l->node);
+	else if (!g_hash_table_contains(t->zone_peers, l->node))
+		g_hash_table_add(t->zone_peers, g_strdup(l->node));
+}
+
 static void on_loads(struct fleet_task *t, const uint8_t *bytes, size_t len,
 		     const struct sockaddr_in *from)
 {
@@ -736,6 +801,7 @@
 		counter_add(&t->g->counter_set, COUNTER_PEER_BAD, 1);
 	else {
 		peer_loads_update(&t->g->peer_loads, gateway_now(t->g), &l);
+		learn_zone(t, &l);
 		compare_changes(t, l.changed, ip_of(from));
 	}
 }
@@ -819,6 +885,8 @@
 
 	t->g = g;
 	t->findings = findings_task_new(g, t);
+	t->zone_peers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					      NULL);
 	t->tenure.started_at = gateway_now(g);
 	address_parse(g->settings->peer_address, &sa, NULL);
 	t->self.ip = ntohl(sa.sin_addr.s_addr);
--- a/t/unit/fleet_test.cc
+++ b/t/unit/fleet_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 extern "C" {
+#include "fleet/load-plan.h"
 #include "fleet/peer-news.h"
 #include "fleet/source-follow.h"
 }
@@ -95,4 +96,25 @@
 	EXPECT_FALSE(source_follow_is_safe(&f, 2400, known));
 }
 
+/*
+ * Guards against control traffic between zones that grows with the fleet: at 300
+ * nodes it was most of what nodes sent.
+ */
+TEST(LoadPlan, ALargeFleetSendsLessAndMostlyInItsOwnZone)
+{
+	const load_plan small = load_plan_for(78);
+
+	EXPECT_EQ(small.interval_ticks, 1u);
+	EXPECT_EQ(small.own_zone, 0u);
+	for (uint32_t live = 121; live <= 4000; live++) {
+		const load_plan p = load_plan_for(live);
+
+		/* A node's messages per tick, times the nodes, stay constant. */
+		EXPECT_LE((p.own_zone + p.others) * live / p.interval_ticks,
+			  1600u);
+		EXPECT_LT(p.others, p.own_zone);
+		EXPECT_GT(p.others, 0u);
+	}
+}
+
 } // namespace
--- a/t/unit/shift_test.cc
+++ b/t/unit/shift_test.cc
@@ -13,6 +13,7 @@
 #include "rollout/shift.h"
 #include "session/recent.h"
 #include "wire/fleet-codec.h"
+#include "wire/fleet.h"
 }
 
 namespace {
@@ -494,6 +495,11 @@
 	n = fleet_wire_encode_loads(&l, kKey, buf, sizeof(buf));
 	ASSERT_EQ(fleet_wire_decode_loads(buf, n, kKey, &l2), PEER_WIRE_OK);
 	EXPECT_EQ(l2.load[0].prefill, 7u);
+	EXPECT_STREQ(l2.zone, "");
+	strcpy(l.zone, "z1");
+	n = fleet_wire_encode_loads(&l, kKey, buf, sizeof(buf));
+	ASSERT_EQ(fleet_wire_decode_loads(buf, n, kKey, &l2), PEER_WIRE_OK);
+	EXPECT_STREQ(l2.zone, "z1");
 
 	fleet_wire_limits m = {}, m2;
 	m.n = 2;
@@ -509,6 +515,27 @@
 	EXPECT_DOUBLE_EQ(m2.limit[1].per_s, 0);
 }
 
+/* Guards against nodes that reject the loads of an older build, or the reverse. */
+TEST(FleetCodec, LoadsWithoutAZoneAreRead)
+{
+	uint8_t buf[PEER_WIRE_MAX_BYTES];
+	char node[] = "n1";
+	struct fleet_load one = {9, 8, 7, 6};
+	struct fleet_loads old = {};
+	fleet_wire_loads l;
+	size_t n;
+
+	old.node = node;
+	old.list.list_len = 1;
+	old.list.list_val = &one;
+	n = peer_wire_encode_call(0, 7, (xdrproc_t)xdr_fleet_loads, &old, kKey,
+				  buf, sizeof(buf));
+	ASSERT_EQ(fleet_wire_decode_loads(buf, n, kKey, &l), PEER_WIRE_OK);
+	EXPECT_STREQ(l.node, "n1");
+	EXPECT_STREQ(l.zone, "");
+	EXPECT_EQ(l.load[0].in_flight, 6u);
+}
+
 TEST(FleetCodec, BrittleServersSurviveEncoding)
 {
 	uint8_t buf[PEER_WIRE_MAX_BYTES];
--- a/wire/fleet-codec.c
+++ b/wire/fleet-codec.c
@@ -245,6 +245,21 @@
 	return error;
 }
 
+/* Loads with the sender's zone, which older builds neither send nor read. */
+struct loads_and_zone {
+	struct fleet_loads loads;
+	char *zone; /* NULL: not sent */
+};
+
+static bool_t xdr_loads_and_zone(XDR *xdrs, struct loads_and_zone *v)
+{
+	if (!xdr_fleet_loads(xdrs, &v->loads))
+		return FALSE;
+	if (xdrs->x_op == XDR_DECODE && !xdrs->x_handy)
+		return TRUE;
+	return xdr_string(xdrs, &v->zone, FLEET_NAME_MAX);
+}
+
 /*
  * Encodes and signs loads. Returns the length in bytes, or 0 if it does not
  * fit.
@@ -253,19 +268,20 @@
 			       const char *key, uint8_t *buf, size_t size)
 {
 	struct fleet_load list[FLEET_WIRE_MAX_LOADS];
-	struct fleet_loads w = {
-		.node = (char *)l->node,
-		.list = {.list_len = l->n, .list_val = list},
+	struct loads_and_zone w = {
+		.loads = {.node = (char *)l->node,
+			  .list = {.list_len = l->n, .list_val = list}},
+		.zone = (char *)l->zone,
 	};
 
-	memcpy(w.changed, l->changed, sizeof(w.changed));
+	memcpy(w.loads.changed, l->changed, sizeof(w.loads.changed));
 	for (uint32_t i = 0; i < l->n; i++) {
 		list[i].server = l->load[i].server;
 		list[i].decode = l->load[i].decode;
 		list[i].prefill = l->load[i].prefill;
 		list[i].in_flight = l->load[i].in_flight;
 	}
-	return encode(PROC_LOADS, (xdrproc_t)xdr_fleet_loads, &w, key, buf,
+	return encode(PROC_LOADS, (xdrproc_t)xdr_loads_and_zone, &w, key, buf,
 		      size);
 }
 
@@ -277,19 +293,20 @@
 					     const char *key,
 					     struct fleet_wire_loads *l)
 {
-	struct fleet_loads w;
+	struct loads_and_zone w;
 	enum peer_wire_error error;
 
 	memset(&w, 0, sizeof(w));
 	memset(l, 0, sizeof(*l));
-	error = decode(PROC_LOADS, (xdrproc_t)xdr_fleet_loads, &w, key, buf,
+	error = decode(PROC_LOADS, (xdrproc_t)xdr_loads_and_zone, &w, key, buf,
 		       len);
 	if (error == PEER_WIRE_OK) {
-		g_strlcpy(l->node, w.node, sizeof(l->node));
-		memcpy(l->changed, w.changed, sizeof(l->changed));
-		l->n = MIN(w.list.list_len, FLEET_WIRE_MAX_LOADS);
+		g_strlcpy(l->node, w.loads.node, sizeof(l->node));
+		g_strlcpy(l->zone, w.zone ? w.zone : "", sizeof(l->zone));
+		memcpy(l->changed, w.loads.changed, sizeof(l->changed));
+		l->n = MIN(w.loads.list.list_len, FLEET_WIRE_MAX_LOADS);
 		for (uint32_t i = 0; i < l->n; i++) {
-			const struct fleet_load *from = &w.list.list_val[i];
+			const struct fleet_load *from = &w.loads.list.list_val[i];
 
 			l->load[i].server = from->server;
 			l->load[i].decode = from->decode;
@@ -297,7 +314,7 @@
 			l->load[i].in_flight = from->in_flight;
 		}
 	}
-	xdr_free((xdrproc_t)xdr_fleet_loads, (char *)&w);
+	xdr_free((xdrproc_t)xdr_loads_and_zone, (char *)&w);
 	return error;
 }
 
--- a/wire/fleet-codec.h
+++ b/wire/fleet-codec.h
@@ -70,6 +70,7 @@
  */
 struct fleet_wire_loads {
 	char node[SHIFT_NAME_MAX];
+	char zone[SHIFT_NAME_MAX]; /* of the node; "": an older build's */
 	uint64_t changed[FLEET_WIRE_TOPICS]; /* revision, by enum feed_topic */
 	uint32_t n;
 	struct fleet_wire_load load[FLEET_WIRE_MAX_LOADS];
