relay: doubt few servers when one is lost

Change: a loss doubts the servers in use, at most twice a second, and four others; probes of a lost server back off from 200 to 800 ms. Ruled out: doubting only the servers in use. A node that has just started uses none, and would find out that it is cut off one request at a time.

--- a/relay/probe-task.c
+++ b/relay/probe-task.c
@@ -13,6 +13,8 @@
 	struct server_table *servers;
 	uint32_t open_probes;
 	guint next; /* index of the server where the next search begins */
+	guint next_doubt; /* the same, of servers to doubt */
+	struct reach_doubts doubts;
 };
 
 struct probe {
@@ -104,20 +106,29 @@
 	start_due_probes(t, now);
 }
 
-/* Doubts all servers, or those of which it is not known whether they are reached. */
-static void doubt_others(struct probe_task *t, uint64_t now, bool all)
+static void doubt_others(struct probe_task *t, uint64_t now,
+			 struct reach_doubt doubt)
 {
-	for (guint i = 0; i < t->servers->all->len; i++) {
-		struct server_record *s = t->servers->all->pdata[i];
+	const GPtrArray *all = t->servers->all;
+
+	for (guint n = 0; n < all->len; n++) {
+		struct server_record *s;
 
-		if (all || !reach_is_known(&s->reach, now))
+		t->next_doubt = (t->next_doubt + 1) % all->len;
+		s = all->pdata[t->next_doubt];
+		if (reach_is_known(&s->reach, now)) {
+			if (doubt.known)
+				reach_on_doubt(&s->reach, now);
+		} else if (doubt.unknown) {
 			reach_on_doubt(&s->reach, now);
+			doubt.unknown--;
+		}
 	}
 }
 
 /*
  * Handles a connection to the server that could not be made. What made it fail
- * may hide all servers, so the others are in doubt as well.
+ * may hide other servers, so these are in doubt as well.
  */
 void probe_task_on_failure(struct probe_task *t, struct server_record *s,
 			   uint64_t now)
@@ -127,7 +138,8 @@
 	reach_on_failure(&s->reach, now);
 	if (!was_lost)
 		log_reach(s, false);
-	doubt_others(t, now, !was_lost);
+	doubt_others(t, now,
+		     reach_doubts_on_failure(&t->doubts, now, was_lost));
 	start_due_probes(t, now);
 }
 
--- a/t/unit/relay_test.cc
+++ b/t/unit/relay_test.cc
@@ -1,4 +1,6 @@
 #include <gtest/gtest.h>
+
+#include <algorithm>
 #include <rapidcheck/gtest.h>
 
 #include <string>
@@ -42,6 +44,49 @@
 	EXPECT_FALSE(reach_is_lost(&r));
 }
 
+/* Guards against every node connecting to every server while one is down. */
+TEST(Reach, OneServerThatStaysDownPutsFewOthersInDoubt)
+{
+	reach down = {};
+	reach_doubts doubts = {};
+	uint32_t probes = 0, unknown = 0, known = 0;
+
+	for (uint64_t now = 1000; now < 11000; now += 100) {
+		const bool first = now == 1000;
+		reach_doubt d;
+
+		if (!first && !reach_needs_probe(&down, now))
+			continue;
+		d = reach_doubts_on_failure(&doubts, now, reach_is_lost(&down));
+		reach_on_failure(&down, now);
+		probes++;
+		unknown += d.unknown;
+		known += d.known;
+	}
+	EXPECT_EQ(unknown, REACH_UNKNOWN_DOUBTS);
+	EXPECT_EQ(known, 1u);
+	EXPECT_LT(probes, 20u);
+}
+
+/* Guards against a node that is cut off and does not find out that it is. */
+TEST(Reach, ANodeThatIsCutOffDoubtsMostServersWithinASecond)
+{
+	reach_doubts doubts = {};
+	uint32_t lost = 0, failing = 1; /* of 100, none was in use */
+
+	/* A connection that hangs fails after 250 ms. */
+	for (uint64_t now = 1000; now < 2000; now += 250) {
+		uint32_t doubted = 0;
+
+		for (uint32_t i = 0; i < failing; i++)
+			doubted += reach_doubts_on_failure(&doubts, now, false)
+					   .unknown;
+		lost += failing;
+		failing = std::min(doubted, 100 - lost);
+	}
+	EXPECT_GE(lost, 80u);
+}
+
 struct Table {
 	server_table t;
 
