--- a/fleet/fleet-task.c
+++ b/fleet/fleet-task.c
@@ -388,10 +388,10 @@
 		const struct member_entry *m =
 			&g_array_index(members, struct member_entry,
 				       (start + i) % members->len);
-		uint32_t *left = g_hash_table_contains(t->zone_peers,
-						       m->info.name)
-					 ? &own
-					 : &others;
+		uint32_t *left =
+			g_hash_table_contains(t->zone_peers, m->info.name)
+				? &own
+				: &others;
 
 		if (m->info.state != MEMBER_ALIVE || !*left)
 			continue;
@@ -404,8 +404,8 @@
 static bool loads_are_due(struct fleet_task *t, const struct load_plan *plan,
 			  const struct fleet_wire_loads *l, bool any)
 {
-	bool changed = memcmp(t->sent_changed, l->changed,
-			      sizeof(l->changed)) != 0;
+	bool changed =
+		memcmp(t->sent_changed, l->changed, sizeof(l->changed)) != 0;
 
 	t->load_ticks++;
 	if (!t->members.members->len)
@@ -885,8 +885,8 @@
 
 	t->g = g;
 	t->findings = findings_task_new(g, t);
-	t->zone_peers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					      NULL);
+	t->zone_peers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	t->tenure.started_at = gateway_now(g);
 	address_parse(g->settings->peer_address, &sa, NULL);
 	t->self.ip = ntohl(sa.sin_addr.s_addr);
--- a/wire/fleet-codec.c
+++ b/wire/fleet-codec.c
@@ -306,7 +306,8 @@
 		memcpy(l->changed, w.loads.changed, sizeof(l->changed));
 		l->n = MIN(w.loads.list.list_len, FLEET_WIRE_MAX_LOADS);
 		for (uint32_t i = 0; i < l->n; i++) {
-			const struct fleet_load *from = &w.loads.list.list_val[i];
+			const struct fleet_load *from =
+				&w.loads.list.list_val[i];
 
 			l->load[i].server = from->server;
 			l->load[i].decode = from->decode;
