exchange: read the slowness figure, and tell the room of a service

Servers that share their machines report a fourth load figure, which was not read. The choice of a server does not use them yet.

--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -640,14 +640,20 @@
 		conclude_attempt(x, end);
 }
 
-/* Stores the load that a server reports as "running,waiting,slots". */
+/*
+ * Stores the load that a server reports as "running,waiting,slots", and how slow
+ * its machine is if that is the fourth figure.
+ */
 static void read_load_header(struct exchange_request *x, const char *value)
 {
-	unsigned int running, waiting, slots;
+	unsigned int running, waiting, slots, percent = 0;
+	uint64_t now = gateway_now(x->g);
 
-	if (value && sscanf(value, "%u,%u,%u", &running, &waiting, &slots) == 3)
-		server_on_load_report(x->server, gateway_now(x->g), running,
-				      waiting, slots);
+	if (!value || sscanf(value, "%u,%u,%u,%u", &running, &waiting, &slots,
+			     &percent) < 3)
+		return;
+	server_on_load_report(x->server, now, running, waiting, slots);
+	server_on_slowness_report(x->server, now, percent);
 }
 
 /* Takes up the limit that a server names with an answer. */
--- a/exchange/pick.c
+++ b/exchange/pick.c
@@ -82,6 +82,31 @@
 	       !reach_is_lost(&s->reach) && server_may_get_request(s, now);
 }
 
+/*
+ * Returns the room of a service's servers that could serve requests of this node
+ * now. A server whose slots are not known counts with one.
+ */
+struct pick_service_room pick_room(const struct server_table *t, uint64_t now,
+				   const char *service)
+{
+	struct pick_service_room room = {0};
+
+	for (guint i = 0; i < t->all->len; i++) {
+		const struct server_record *s = t->all->pdata[i];
+		uint32_t slots = MAX(s->slots, 1), load;
+
+		if (strcmp(s->service, service) != 0 || !is_available(s, now) ||
+		    s->ejected_until > now)
+			continue;
+		load = (uint32_t)server_load(s, now);
+		room.servers++;
+		room.slots += slots;
+		room.running += MIN(load, slots);
+		room.waiting += load > slots ? load - slots : 0;
+	}
+	return room;
+}
+
 static bool is_candidate(const struct server_record *s, uint64_t now,
 			 const struct pick_criteria *c, bool ejected_too)
 {
--- a/exchange/pick.h
+++ b/exchange/pick.h
@@ -43,6 +43,16 @@
 	double event_ms; /* between two events */
 };
 
+/* Requests at the available servers of a service, by all nodes. */
+struct pick_service_room {
+	uint32_t servers;
+	uint32_t slots;
+	uint32_t running; /* at most slots */
+	uint32_t waiting; /* in the servers' own queues */
+};
+
+struct pick_service_room pick_room(const struct server_table *t, uint64_t now,
+				   const char *service);
 double pick_mean_work_ms(const struct server_table *t, const char *service,
 			 const char *but_version);
 struct pick_estimate pick_estimate_delay(struct server_table *t, uint64_t now,
--- a/exchange/servers.c
+++ b/exchange/servers.c
@@ -653,6 +653,36 @@
 		s->slots = slots;
 }
 
+/*
+ * Stores how long work takes at the server at this moment, in percent of the
+ * usual time, by the fourth figure of its report; 0 if the report had none.
+ */
+void server_on_slowness_report(struct server_record *s, uint64_t now,
+			       uint32_t percent)
+{
+	s->shares_machine = percent > 0;
+	if (percent)
+		pace_on_slowness(&s->pace, now, percent);
+}
+
+/*
+ * Returns whether servers of a service report the slowness figure. It is false
+ * until one of them has answered this node.
+ */
+bool service_shares_machines(const struct server_table *t, const char *service)
+{
+	uint64_t hash = hash_name(service);
+
+	for (guint i = 0; i < t->all->len; i++) {
+		const struct server_record *s = t->all->pdata[i];
+
+		if (s->shares_machine && s->service_hash == hash &&
+		    s->state != SERVER_REMOVED)
+			return true;
+	}
+	return false;
+}
+
 /* Excludes a server for a time that doubles with each ejection in a row. */
 static void eject(struct server_record *s, uint64_t now)
 {
