exchange: choose servers that share machines by measured times

Engines were placed by constants of an earlier deployment, and a shared prefix had one server whatever its load. Services whose servers report the slowness figure now get exchange/pick-shared.c: the least expected time to the first event, by measured ms a prompt token and by what the server is believed to hold (exchange/prefix-cache.c).

--- a/counters.h
+++ b/counters.h
@@ -33,6 +33,10 @@
 	  "requests not sent because their client had left")                   \
 	X(BRITTLE_REFUSALS, "brittle_refusals_total",                          \
 	  "requests that a brittle server had no room for")                    \
+	X(PROMPT_TOKENS, "prompt_tokens_total",                                \
+	  "prompt tokens sent to servers that share their machines")           \
+	X(PROMPT_TOKENS_HELD, "prompt_tokens_held_total",                      \
+	  "of these, tokens that the server was expected to hold")             \
 	X(STORE_CALLS, "store_calls_total", "calls to the object API")         \
 	X(STORE_FAILURES, "store_failures_total",                              \
 	  "calls to the object API that failed")                               \
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -91,6 +91,8 @@
 	     "last one also applies to all further priorities"),
 	REAL(session_s, 0, 3600,
 	     "longest time between two requests of one session"),
+	REAL(prefix_memory_s, 0, 3600,
+	     "how long a server holds the beginning of a prompt without use"),
 	{0},
 };
 
@@ -121,6 +123,7 @@
 	s->expose_share = 0.1;
 	s->expose_slack = 20;
 	s->session_s = 10;
+	s->prefix_memory_s = 10;
 }
 
 static gboolean check_addresses(const struct node_settings *s, GError **err)
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -48,6 +48,7 @@
 	double expose_share;
 	double expose_slack;
 	double session_s;
+	double prefix_memory_s;
 	char *quality_targets; /* "0.9,...", 0 to 1, by priority from the first */
 };
 
--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -442,6 +442,29 @@
 		  x->server->in_flight, b->nodes, x->server->born);
 }
 
+/* Updates the measured speeds by the attempt, which has ended. */
+static void record_pace(const struct exchange_request *x)
+{
+	struct pace_server *p = &x->server->pace;
+	uint64_t now = gateway_now(x->g);
+
+	if (x->answer.result != RETRY_RESULT_COMPLETE ||
+	    x->answer.status >= 300)
+		return;
+	if (x->sample.weight > 0)
+		pace_on_run(&x->sample, (double)(now - x->attempt_at));
+	if (x->attempt_events >= MIN_SERVER_SAMPLE_EVENTS)
+		pace_on_event_interval(&x->sample, p, now, attempt_event_ms(x));
+	if (!x->streamed)
+		pace_on_head(&x->sample, p, now, x->head_ms);
+	if (pace_take_change(p, now))
+		log_event(LOG_EVENT_SERVER_PACE,
+			  "server=%s service=%s slow=%d factor=%.2f "
+			  "slowness=%.2f",
+			  x->server->id, x->service, p->said_slow,
+			  pace_factor(p, now), pace_slowness(p, now));
+}
+
 /* Updates what is known of the server by the attempt that has ended. */
 static void record_call_end(struct exchange_request *x,
 			    enum http_client_outcome end)
@@ -461,8 +484,10 @@
 	if (outcome == SERVER_CALL_REFUSED &&
 	    brittle_is_in_force(&x->server->brittle))
 		record_brittle_refusal(x);
-	if (x->answer.result == RETRY_RESULT_COMPLETE &&
-	    x->attempt_events >= MIN_SERVER_SAMPLE_EVENTS)
+	if (x->sample.service)
+		record_pace(x);
+	else if (x->answer.result == RETRY_RESULT_COMPLETE &&
+		 x->attempt_events >= MIN_SERVER_SAMPLE_EVENTS)
 		server_on_event_interval(&x->g->servers, x->server, &x->work,
 					 attempt_event_ms(x));
 	server_remove_work(x->server, &x->work);
@@ -653,7 +678,11 @@
 			     &percent) < 3)
 		return;
 	server_on_load_report(x->server, now, running, waiting, slots);
-	server_on_slowness_report(x->server, now, percent);
+	if (!x->helper &&
+	    server_on_slowness_report(&x->g->servers, x->server, now, percent))
+		log_event(LOG_EVENT_SHARED_MACHINES,
+			  "service=%s server=%s percent=%u", x->service,
+			  x->server->id, percent);
 }
 
 /* Takes up the limit that a server names with an answer. */
@@ -881,10 +910,14 @@
 	if (!x->helper)
 		probe_task_on_contact(x->server, x->last_event_at);
 	if (!x->attempt_events++) {
+		double ms = (double)(x->last_event_at - x->attempt_at);
+
 		x->first_event_at = x->last_event_at;
-		server_on_first_event(
-			&x->g->servers, &x->work,
-			(double)(x->first_event_at - x->attempt_at));
+		if (x->sample.service)
+			pace_on_first_event(&x->sample, &x->server->pace,
+					    x->first_event_at, ms);
+		else
+			server_on_first_event(&x->g->servers, &x->work, ms);
 		server_on_prefill_done(x->server, &x->work);
 	}
 	if (x->attempt_events == SHIFT_LATENCY_EVENTS)
@@ -1118,6 +1151,10 @@
 	if (x->route->kind == ROUTE_STREAMING && !x->helper)
 		shift_task_record_session(x->g->shifts, now, x->service,
 					  x->session, x->server->version);
+	counter_add(&x->g->counter_set, COUNTER_PROMPT_TOKENS,
+		    x->sample.tokens);
+	counter_add(&x->g->counter_set, COUNTER_PROMPT_TOKENS_HELD,
+		    x->sample.held_tokens);
 	call_server(x, now);
 }
 
--- a/exchange/exchange.h
+++ b/exchange/exchange.h
@@ -47,6 +47,7 @@
 	struct http_client_call *call;
 	struct server_record *server;
 	struct server_work work; /* added to the server's load */
+	struct pace_sample sample; /* what is expected of the attempt */
 	uint64_t attempt_at; /* start of the attempt */
 	struct retry_answer answer;
 	struct http_message_fields head;
--- a/exchange/pace.c
+++ b/exchange/pace.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <math.h>
+#include <string.h>
 
 /* The figure changes many times a second, so an old one says little. */
 #define SLOWNESS_DECAY_MS 300.0
@@ -26,8 +27,22 @@
 /* Bounds of one sample: a queue that was not known must not count as slowness. */
 #define MIN_SAMPLE_RATIO 0.25
 #define MAX_SAMPLE_RATIO 4.0
+#define MIN_FIRST_RATIO 0.02
+#define MAX_FIRST_RATIO 50.0
+#define DEFAULT_BASE_MS 3.0 /* a way between zones and back */
+#define MAX_BASE_MS 100.0
+/* Factors at which a server begins and ceases to be called slow. */
+#define SLOW_FROM 2.0
+#define SLOW_UNTIL 1.4
 #define DEFAULT_TOKEN_MS 0.021 /* of a model of weight 1, without samples */
 
+/* Initialises without samples. */
+void pace_service_init(struct pace_service *s)
+{
+	memset(s, 0, sizeof(*s));
+	s->base_ms = DEFAULT_BASE_MS;
+}
+
 /* Returns the slowness last reported, decayed to the usual 1 by its age. */
 double pace_slowness(const struct pace_server *p, uint64_t now)
 {
@@ -98,7 +113,7 @@
 		for (uint32_t i = 1; i < PACE_MAX_MODELS; i++)
 			if (s->models[i].used_at < m->used_at)
 				m = &s->models[i];
-		*m = (struct pace_model){.model = model};
+		*m = (struct pace_model) {.model = model};
 	}
 	m->used_at = now;
 	return m;
@@ -150,61 +165,123 @@
 	return n ? weight * sum / n : 0;
 }
 
+/* Updates what a first event takes without prefill, by the rest of its time. */
+static void add_base(struct pace_service *s, double ms)
+{
+	s->base_ms += SERVICE_WEIGHT * (CLAMP(ms, 0, MAX_BASE_MS) - s->base_ms);
+}
+
 /*
- * Updates both speeds by a prefill whose time was `ratio` times what was
- * expected for a server of factor 1.
+ * Updates a model's speed and its server's by a prefill that took `ratio` times
+ * what was expected of a server of factor 1.
  */
-void pace_on_prefill(struct pace_service *s, struct pace_server *p,
-		     uint64_t now, uint64_t model, double weight, double ratio)
+static void add_prefill(const struct pace_sample *sample, struct pace_server *p,
+			uint64_t now, double ratio)
 {
-	struct pace_model *m = get_model(s, now, model);
-	double factor = pace_factor(p, now);
+	struct pace_service *s = sample->service;
+	struct pace_model *m = get_model(s, now, sample->model);
 
-	ratio = CLAMP(ratio, MIN_SAMPLE_RATIO, MAX_SAMPLE_RATIO);
-	m->token_weight = weight;
+	m->token_weight = sample->weight;
 	if (m->token_ms <= 0)
-		m->token_ms = pace_token_ms(s, model, weight);
+		m->token_ms = pace_token_ms(s, sample->model, sample->weight);
 	if (m->n_samples < FIRST_SAMPLES) {
-		m->n_samples++;
-		m->token_ms *= 1 + (ratio - 1) / m->n_samples;
+		ratio = CLAMP(ratio, MIN_FIRST_RATIO, MAX_FIRST_RATIO);
+		m->token_ms *= 1 + (ratio - 1) / ++m->n_samples;
 		return;
 	}
-	m->token_ms *= 1 + SERVICE_WEIGHT * (ratio / factor - 1);
+	ratio = CLAMP(ratio, MIN_SAMPLE_RATIO, MAX_SAMPLE_RATIO);
+	m->token_ms *= 1 + SERVICE_WEIGHT * (ratio / pace_factor(p, now) - 1);
 	add_factor(p, now, ratio);
 }
 
+/*
+ * Updates the speeds by an attempt whose first event took `ms`. The time tells
+ * what prefill takes only if most of it was the attempt's own prefill.
+ */
+void pace_on_first_event(const struct pace_sample *sample,
+			 struct pace_server *p, uint64_t now, double ms)
+{
+	struct pace_service *s = sample->service;
+	double speed;
+
+	if (!s || sample->weight <= 0)
+		return;
+	speed = sample->slowness * pace_factor(p, now);
+	if (sample->wait_ms > sample->prefill_ms)
+		return;
+	if (sample->prefill_ms < s->base_ms) {
+		add_base(s,
+			 ms - (sample->wait_ms + sample->prefill_ms) * speed);
+		return;
+	}
+	ms -= s->base_ms + sample->wait_ms * speed;
+	add_prefill(sample, p, now,
+		    ms / (sample->prefill_ms * sample->slowness));
+}
+
+/* Returns a time as it were at an idle server that is not slow. */
+static double idle_ms(const struct pace_sample *sample, double ms)
+{
+	return ms / (sample->slowness * sample->crowding);
+}
+
 /* Updates both speeds by a stream's mean time between events. */
-void pace_on_event_interval(struct pace_service *s, struct pace_server *p,
-			    uint64_t now, uint64_t model, double weight,
-			    double ms)
+void pace_on_event_interval(const struct pace_sample *sample,
+			    struct pace_server *p, uint64_t now, double ms)
 {
-	struct pace_model *m = get_model(s, now, model);
-	double ratio = m->event_ms > 0 ? ms / m->event_ms : 1;
+	struct pace_model *m;
+	double ratio;
 
-	m->event_weight = weight;
+	if (!sample->service || sample->weight <= 0 || ms <= 0)
+		return;
+	m = get_model(sample->service, now, sample->model);
+	ms = idle_ms(sample, ms);
+	ratio = m->event_ms > 0 ? ms / m->event_ms : 1;
+	m->event_weight = sample->weight;
 	add_mean(&m->event_ms, ms / pace_factor(p, now));
 	add_factor(p, now, CLAMP(ratio, MIN_SAMPLE_RATIO, MAX_SAMPLE_RATIO));
 }
 
 /* Updates both speeds by the time to the head of a plain answer. */
-void pace_on_head(struct pace_service *s, struct pace_server *p, uint64_t now,
-		  double ms)
+void pace_on_head(const struct pace_sample *sample, struct pace_server *p,
+		  uint64_t now, double ms)
 {
-	double ratio = s->head_ms > 0 ? ms / s->head_ms : 1;
+	struct pace_service *s = sample->service;
+	double ratio;
 
+	if (!s || sample->weight > 0 || ms <= 0)
+		return;
+	ms = idle_ms(sample, ms);
+	ratio = s->head_ms > 0 ? ms / s->head_ms : 1;
 	add_mean(&s->head_ms, ms / pace_factor(p, now));
 	add_factor(p, now, CLAMP(ratio, MIN_SAMPLE_RATIO, MAX_SAMPLE_RATIO));
 }
 
 /* Updates the mean time that a request holds its slot. */
-void pace_on_run(struct pace_service *s, double ms)
+void pace_on_run(const struct pace_sample *sample, double ms)
 {
-	add_mean(&s->run_ms, ms);
+	if (sample->service)
+		add_mean(&sample->service->run_ms, ms);
 }
 
 /* Counts the prompt tokens of a request of this node. */
-void pace_on_sent(struct pace_service *s, uint32_t tokens)
+void pace_on_sent(const struct pace_sample *sample)
 {
-	s->sent_tokens += tokens;
-	add_mean(&s->prompt_tokens, tokens);
+	struct pace_service *s = sample->service;
+
+	if (!s || !sample->tokens)
+		return;
+	s->sent_tokens += sample->tokens - sample->held_tokens;
+	add_mean(&s->prompt_tokens, sample->tokens);
+}
+
+/* Returns whether the server became slow or ceased to be since the last call. */
+bool pace_take_change(struct pace_server *p, uint64_t now)
+{
+	double factor = pace_factor(p, now);
+	bool is_slow = factor > (p->said_slow ? SLOW_UNTIL : SLOW_FROM);
+	bool changed = is_slow != p->said_slow;
+
+	p->said_slow = is_slow;
+	return changed;
 }
--- a/exchange/pace.h
+++ b/exchange/pace.h
@@ -1,6 +1,7 @@
 #ifndef EXCHANGE_PACE_H
 #define EXCHANGE_PACE_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /*
@@ -27,6 +28,7 @@
 	struct pace_model models[PACE_MAX_MODELS];
 	double run_ms; /* mean time that a request holds its slot; 0: unknown */
 	double head_ms; /* of a plain request at an idle server; 0: unknown */
+	double base_ms; /* of a first event, not for prefill or waiting */
 	double prompt_tokens; /* mean length of a prompt; 0: unknown */
 	uint64_t sent_tokens; /* prompt tokens that this node has sent */
 };
@@ -37,8 +39,26 @@
 	uint64_t sampled_at; /* last sample of factor */
 	double slowness; /* momentary, 1: as usual; 0: never reported */
 	uint64_t slow_at; /* when slowness was reported */
+	bool said_slow; /* by the last pace_take_change() */
 };
 
+/*
+ * What was expected of an attempt at a server of usual speed, to compare with
+ * what it took.
+ */
+struct pace_sample {
+	struct pace_service *service; /* NULL: not to be measured */
+	uint64_t model;
+	double weight; /* of the model; 0: a plain request */
+	double slowness; /* of the server, momentary */
+	double wait_ms; /* for the work before it */
+	double prefill_ms; /* of its own tokens */
+	double crowding; /* by which running requests lengthen its steps */
+	uint32_t tokens; /* of its prompt */
+	uint32_t held_tokens; /* of these, believed to be held there */
+};
+
+void pace_service_init(struct pace_service *s);
 void pace_on_slowness(struct pace_server *p, uint64_t now, uint32_t percent);
 double pace_slowness(const struct pace_server *p, uint64_t now);
 double pace_factor(const struct pace_server *p, uint64_t now);
@@ -46,14 +66,14 @@
 		     double weight);
 double pace_event_ms(const struct pace_service *s, uint64_t model,
 		     double weight);
-void pace_on_prefill(struct pace_service *s, struct pace_server *p,
-		     uint64_t now, uint64_t model, double weight, double ratio);
-void pace_on_event_interval(struct pace_service *s, struct pace_server *p,
-			    uint64_t now, uint64_t model, double weight,
-			    double ms);
-void pace_on_head(struct pace_service *s, struct pace_server *p, uint64_t now,
-		  double ms);
-void pace_on_run(struct pace_service *s, double ms);
-void pace_on_sent(struct pace_service *s, uint32_t tokens);
+void pace_on_first_event(const struct pace_sample *sample,
+			 struct pace_server *p, uint64_t now, double ms);
+void pace_on_event_interval(const struct pace_sample *sample,
+			    struct pace_server *p, uint64_t now, double ms);
+void pace_on_head(const struct pace_sample *sample, struct pace_server *p,
+		  uint64_t now, double ms);
+void pace_on_run(const struct pace_sample *sample, double ms);
+bool pace_take_change(struct pace_server *p, uint64_t now);
+void pace_on_sent(const struct pace_sample *sample);
 
 #endif
--- a/exchange/pick.c
+++ b/exchange/pick.c
@@ -1,4 +1,4 @@
-#include "exchange/pick.h"
+#include "exchange/pick-shared.h"
 
 #include <float.h>
 #include <string.h>
@@ -107,8 +107,12 @@
 	return room;
 }
 
-static bool is_candidate(const struct server_record *s, uint64_t now,
-			 const struct pick_criteria *c, bool ejected_too)
+/*
+ * Returns whether a server may get the request; ejected ones are none unless
+ * ejected_too.
+ */
+bool pick_is_candidate(const struct server_record *s, uint64_t now,
+		       const struct pick_criteria *c, bool ejected_too)
 {
 	if (!is_available(s, now))
 		return false;
@@ -152,7 +156,7 @@
 			t->all->pdata[(start + k) % t->all->len];
 		double load;
 
-		if (!is_candidate(s, now, c, ejected_too))
+		if (!pick_is_candidate(s, now, c, ejected_too))
 			continue;
 		load = weighted_load(s, now, c);
 		if (load < best_load) {
@@ -163,10 +167,10 @@
 	return best;
 }
 
-/* Rendezvous hash of a server and a key: the same at all nodes. */
-static uint64_t server_rank(const struct server_record *s, uint64_t affinity)
+/* Returns a server's rendezvous hash for a key: the same at all nodes. */
+uint64_t pick_rank(const struct server_record *s, uint64_t key)
 {
-	const uint64_t both[2] = {s->hash, affinity};
+	const uint64_t both[2] = {s->hash, key};
 
 	return XXH3_64bits(both, sizeof(both));
 }
@@ -196,10 +200,10 @@
 		struct server_record *s = t->all->pdata[i];
 		uint64_t rank;
 
-		if (!is_candidate(s, now, c, false) ||
+		if (!pick_is_candidate(s, now, c, false) ||
 		    (unfilled && is_filled_up(s, now, c)))
 			continue;
-		rank = server_rank(s, key);
+		rank = pick_rank(s, key);
 		if (!first || rank > best) {
 			first = s;
 			best = rank;
@@ -277,7 +281,7 @@
 		struct server_record *s = t->all->pdata[i];
 		double ms;
 
-		if (!is_candidate(s, now, c, false))
+		if (!pick_is_candidate(s, now, c, false))
 			continue;
 		ms = expected_delay_ms(t, s, now, c,
 				       affinity_target && s == affinity_target);
@@ -312,11 +316,13 @@
 struct pick_estimate pick_estimate_delay(struct server_table *t, uint64_t now,
 					 const struct pick_criteria *c)
 {
-	const struct server_record *affinity_target =
-		affinity_server(t, now, c);
-	const struct server_record *s = least_delay(t, now, c, affinity_target);
+	const struct server_record *affinity_target, *s;
 	struct pick_estimate out = {0, 0};
 
+	if (service_shares_machines(t, c->service))
+		return pick_shared_estimate(t, now, c);
+	affinity_target = affinity_server(t, now, c);
+	s = least_delay(t, now, c, affinity_target);
 	if (!s)
 		return out;
 	out.first_event_ms =
@@ -338,12 +344,14 @@
 				       struct rng *rng,
 				       struct server_work *work)
 {
-	const struct server_record *affinity_target =
-		affinity_server(t, now, c);
+	const struct server_record *affinity_target;
 	struct server_record *s = NULL;
 
 	if (c->fill_share > 0 || c->fill_work_ms > 0)
 		s = first_by_rank(t, now, c, c->fill_seed, true);
+	if (service_shares_machines(t, c->service))
+		return pick_shared_server(t, now, c, s, rng, work);
+	affinity_target = affinity_server(t, now, c);
 	if (!s && c->weight > 0)
 		s = least_delay(t, now, c, affinity_target);
 	if (!s)
--- a/exchange/pick.h
+++ b/exchange/pick.h
@@ -1,6 +1,7 @@
 #ifndef EXCHANGE_PICK_H
 #define EXCHANGE_PICK_H
 
+#include "exchange/prompt.h"
 #include "exchange/servers.h"
 
 /*
@@ -35,6 +36,12 @@
 	uint32_t max_in_flight; /* of this node at one server; 0: no limit */
 	uint64_t tried[PICK_MAX_TRIED]; /* hashes of ids; these are skipped */
 	uint32_t n_tried;
+	/* Only for services whose servers share their machines. */
+	uint64_t model; /* hash of its name */
+	const struct prompt_info *prompt; /* NULL: not known */
+	uint32_t kv_capacity; /* of a server, in tokens; 0: not known */
+	uint32_t prefix_memory_ms; /* how long a server holds a beginning */
+	uint32_t live_nodes; /* of the fleet; 0 counts as 1 */
 };
 
 /* Expected times of a model request at the server that suits it best. */
@@ -57,6 +64,12 @@
 			 const char *but_version);
 struct pick_estimate pick_estimate_delay(struct server_table *t, uint64_t now,
 					 const struct pick_criteria *c);
+struct pace_sample pick_on_sent(struct server_table *t, uint64_t now,
+				const struct pick_criteria *c,
+				struct server_record *s);
+bool pick_is_candidate(const struct server_record *s, uint64_t now,
+		       const struct pick_criteria *c, bool ejected_too);
+uint64_t pick_rank(const struct server_record *s, uint64_t key);
 struct server_record *pick_best_server(struct server_table *t, uint64_t now,
 				       const struct pick_criteria *c,
 				       struct rng *rng,
--- a/exchange/place-task.c
+++ b/exchange/place-task.c
@@ -1,6 +1,7 @@
 #include "exchange/exchange.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #include "fleet/fleet-task.h"
 #include "rollout/shift-task.h"
@@ -126,6 +127,27 @@
 	return max ? MAX(max / fleet_task_live_count(x->g->fleet), 1) : 0;
 }
 
+/*
+ * Sets what the choice of a server that shares its machine goes by: the model,
+ * the prompt, and how long and how much servers of the service remember.
+ */
+static void add_shared_criteria(const struct exchange_request *x, size_t model,
+				struct pick_criteria *criteria)
+{
+	route_handle h = route_find_service(x->routes, x->service);
+	const char *name =
+		x->model
+			? x->route->models[model]
+			: http_server_header(x->req, x->g->header_names->model);
+
+	criteria->model = name ? XXH3_64bits(name, strlen(name)) : 1;
+	criteria->prompt = &x->prompt;
+	criteria->kv_capacity = x->routes->services[h].kv_capacity;
+	criteria->prefix_memory_ms =
+		(uint32_t)(1000 * x->g->settings->prefix_memory_s);
+	criteria->live_nodes = fleet_task_live_count(x->g->fleet);
+}
+
 /* Returns the criteria for the server of an attempt with a model. */
 static struct pick_criteria criteria_of(struct exchange_request *x,
 					uint64_t now, size_t model)
@@ -143,6 +165,8 @@
 	};
 
 	memcpy(criteria.tried, x->tried, sizeof(criteria.tried));
+	if (service_shares_machines(&x->g->servers, x->service))
+		add_shared_criteria(x, model, &criteria);
 	choose_version(x, now, &criteria);
 	return criteria;
 }
@@ -207,5 +231,8 @@
 		s = pick_best_server(servers, now, &criteria, rng, &x->work);
 	}
 	x->fills = criteria.fill_share > 0;
+	memset(&x->sample, 0, sizeof(x->sample));
+	if (s)
+		x->sample = pick_on_sent(servers, now, &criteria, s);
 	return s;
 }
--- a/exchange/prompt.c
+++ b/exchange/prompt.c
@@ -38,6 +38,20 @@
 	p->parts[p->n_parts++] = part;
 }
 
+/* Adds the beginning that ends with a part. */
+static void add_beginning(struct prompt_info *p, uint64_t part, uint32_t tokens)
+{
+	uint32_t n = p->n_beginnings;
+	uint64_t both[2] = {n ? p->beginnings[n - 1] : 0, part};
+	uint32_t before = n ? p->beginning_tokens[n - 1] : 0;
+
+	if (n == PROMPT_MAX_PARTS)
+		return;
+	p->beginnings[n] = XXH3_64bits(both, sizeof(both));
+	p->beginning_tokens[n] = MIN(before + tokens, MAX_PROMPT_TOKENS);
+	p->n_beginnings++;
+}
+
 /*
  * Parses the list of the prompt's parts ("ID:TOKENS,...", the last of which
  * belongs to the request or its session) and its token counts
@@ -62,6 +76,8 @@
 			part--;
 			id--;
 		}
+		if (id)
+			add_beginning(p, XXH3_64bits(prefix, id), n);
 		if (last) {
 			p->session = XXH3_64bits(prefix, id);
 		} else {
--- a/exchange/prompt.h
+++ b/exchange/prompt.h
@@ -16,6 +16,14 @@
 	 */
 	uint64_t parts[PROMPT_MAX_PARTS];
 	uint32_t n_parts;
+	/*
+	 * The prompt's beginnings, from its first part to all of it. Each number
+	 * depends on all parts up to there, and the tokens are their sum. Of a longer
+	 * list the first ones.
+	 */
+	uint64_t beginnings[PROMPT_MAX_PARTS];
+	uint32_t beginning_tokens[PROMPT_MAX_PARTS];
+	uint32_t n_beginnings;
 	uint32_t shared_tokens; /* length of all parts but the last */
 	uint32_t input_tokens; /* length of the whole prompt */
 	uint32_t max_output_tokens;
--- a/exchange/relay-task.c
+++ b/exchange/relay-task.c
@@ -84,6 +84,7 @@
 	x->rollout_active = false;
 	x->fills = false;
 	memset(&x->work, 0, sizeof(x->work));
+	memset(&x->sample, 0, sizeof(x->sample));
 	log_event(LOG_EVENT_RELAYED, "request=%s service=%s to=%s attempts=%u",
 		  x->id, x->service, x->server->id, x->granted);
 	return true;
--- a/exchange/routes.c
+++ b/exchange/routes.c
@@ -62,6 +62,7 @@
 			    "-");
 	s->max_connections = bounded_int(o, "max_connections", 0, UINT16_MAX);
 	s->slots = bounded_int(o, "slots", 0, UINT16_MAX);
+	s->kv_capacity = bounded_int(o, "kv_capacity", 0, UINT32_MAX);
 	s->n_models = jcheck_array_length(models);
 	s->models = g_new0(struct route_model, s->n_models + 1);
 	for (size_t i = 0; i < s->n_models; i++) {
--- a/exchange/routes.h
+++ b/exchange/routes.h
@@ -65,6 +65,7 @@
 	char *name;
 	uint32_t max_connections; /* fleet to one server; 0: no limit */
 	uint32_t slots; /* of one server; 0: given by its entry */
+	uint32_t kv_capacity; /* of one server, in tokens; 0: not known */
 	struct route_model *models;
 	size_t n_models;
 };
--- a/exchange/servers.c
+++ b/exchange/servers.c
@@ -57,6 +57,9 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	t->brittle_services = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						    g_free, g_free);
+	t->paces = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					 g_free);
+	prefix_cache_init(&t->prefixes);
 	t->all = g_ptr_array_new_with_free_func(free_server);
 	removal_log_init(&t->removals);
 }
@@ -67,6 +70,8 @@
 	g_hash_table_unref(t->by_id);
 	g_hash_table_unref(t->load_limits);
 	g_hash_table_unref(t->brittle_services);
+	g_hash_table_unref(t->paces);
+	prefix_cache_clear(&t->prefixes);
 	g_ptr_array_unref(t->all);
 	removal_log_clear(&t->removals);
 }
@@ -166,6 +171,8 @@
 	s->misdirected_until = 0;
 	s->misdirected_streak = 0;
 	memset(&s->limit, 0, sizeof(s->limit));
+	memset(&s->pace, 0, sizeof(s->pace));
+	s->boots++;
 	brittle_on_start(&s->brittle, service);
 }
 
@@ -654,33 +661,44 @@
 }
 
 /*
- * Stores how long work takes at the server at this moment, in percent of the
- * usual time, by the fourth figure of its report; 0 if the report had none.
+ * Returns the measured speeds of a service of which a server has reported the
+ * slowness figure, or NULL.
  */
-void server_on_slowness_report(struct server_record *s, uint64_t now,
-			       uint32_t percent)
+struct pace_service *server_pace_service(const struct server_table *t,
+					 const char *service)
 {
-	s->shares_machine = percent > 0;
-	if (percent)
-		pace_on_slowness(&s->pace, now, percent);
+	uint64_t hash = hash_name(service);
+
+	return g_hash_table_lookup(t->paces, &hash);
 }
 
-/*
- * Returns whether servers of a service report the slowness figure. It is false
- * until one of them has answered this node.
- */
+/* Returns whether servers of a service share their machines with other work. */
 bool service_shares_machines(const struct server_table *t, const char *service)
 {
-	uint64_t hash = hash_name(service);
+	return server_pace_service(t, service) != NULL;
+}
 
-	for (guint i = 0; i < t->all->len; i++) {
-		const struct server_record *s = t->all->pdata[i];
+/*
+ * Stores how long work takes at the server at this moment, in percent of the
+ * usual time, by the fourth figure of its report; 0 if the report had none.
+ * Returns true if it is the first such report of the service.
+ */
+bool server_on_slowness_report(struct server_table *t, struct server_record *s,
+			       uint64_t now, uint32_t percent)
+{
+	struct pace_service *p;
 
-		if (s->shares_machine && s->service_hash == hash &&
-		    s->state != SERVER_REMOVED)
-			return true;
-	}
-	return false;
+	if (!percent || !s->service)
+		return false;
+	pace_on_slowness(&s->pace, now, percent);
+	if (service_shares_machines(t, s->service))
+		return false;
+	p = g_new0(struct pace_service, 1);
+	pace_service_init(p);
+	g_hash_table_insert(
+		t->paces, g_memdup2(&s->service_hash, sizeof(s->service_hash)),
+		p);
+	return true;
 }
 
 /* Excludes a server for a time that doubles with each ejection in a row. */
--- a/exchange/servers.h
+++ b/exchange/servers.h
@@ -7,6 +7,7 @@
 
 #include "exchange/brittle.h"
 #include "exchange/pace.h"
+#include "exchange/prefix-cache.h"
 #include "exchange/rate-limit.h"
 #include "exchange/removals.h"
 #include "relay/reach.h"
@@ -74,8 +75,9 @@
 	uint32_t reported_load; /* running and waiting, by its own report */
 	uint32_t reported_in_flight; /* in_flight at reported_at */
 	uint64_t reported_at; /* 0: no report yet */
-	bool shares_machine; /* its last report had the slowness figure */
 	struct pace_server pace; /* its measured speed */
+	uint32_t boots; /* starts seen by this node */
+	uint64_t sent_tokens; /* of prompts, by this node */
 	double latency_ratio; /* moving average: its head times to the mean */
 	double failure_rate; /* moving average, 0 to 1 */
 	uint32_t broken_answers; /* not attributed to its version yet */
@@ -107,6 +109,12 @@
 	 */
 	GHashTable *brittle_services;
 	GPtrArray *all;
+	/*
+	 * Hash of a service's name -> struct pace_service, of those whose servers
+	 * report how slow their machines are.
+	 */
+	GHashTable *paces;
+	struct prefix_cache prefixes;
 	struct removal_log removals;
 	double mean_head_ms; /* mean time to the head of plain answers */
 	double mean_event_ms; /* mean event_ms of all servers */
@@ -176,9 +184,11 @@
 void server_on_request_start(struct server_record *s, uint64_t now);
 void server_on_load_report(struct server_record *s, uint64_t now,
 			   uint32_t running, uint32_t waiting, uint32_t slots);
-void server_on_slowness_report(struct server_record *s, uint64_t now,
-			       uint32_t percent);
+bool server_on_slowness_report(struct server_table *t, struct server_record *s,
+			       uint64_t now, uint32_t percent);
 bool service_shares_machines(const struct server_table *t, const char *service);
+struct pace_service *server_pace_service(const struct server_table *t,
+					 const char *service);
 void server_on_request_end(struct server_table *t, struct server_record *s,
 			   uint64_t now, enum server_outcome outcome,
 			   double head_ms);
