exchange: learn which servers hold what other nodes have sent

Of 8 nodes before 12 engines each knew only its own sends. The chance that a server of high rank holds a beginning is now learned by class of rank, from times in which fewer tokens were read than expected. The base now follows a low quantile.

--- a/exchange/pace.c
+++ b/exchange/pace.c
@@ -10,7 +10,10 @@
 #define MAX_SLOWNESS 20.0
 
 /* Weights of the latest sample in the moving averages. */
-#define FACTOR_WEIGHT 0.25
+/* A server's factor: a sample weighs more the longer there was none. */
+#define MIN_FACTOR_WEIGHT 0.1
+#define MAX_FACTOR_WEIGHT 0.5
+#define FACTOR_SAMPLE_MS 20000.0
 #define SERVICE_WEIGHT 0.05
 /*
  * The first samples of a model set its speed, which may differ tenfold from what
@@ -23,24 +26,32 @@
  * A server that is taken for slow gets few requests, so few samples show that it
  * is faster again. Without samples its factor returns to 1 at this rate.
  */
-#define FACTOR_DECAY_MS 30000.0
+#define FACTOR_DECAY_MS 60000.0
 /* Bounds of one sample: a queue that was not known must not count as slowness. */
 #define MIN_SAMPLE_RATIO 0.25
-#define MAX_SAMPLE_RATIO 4.0
-#define MIN_FIRST_RATIO 0.02
-#define MAX_FIRST_RATIO 50.0
+#define MAX_SAMPLE_RATIO 3.0
+#define MIN_FIRST_RATIO 0.1
+#define MAX_FIRST_RATIO 4.0
 #define DEFAULT_BASE_MS 3.0 /* a way between zones and back */
+#define MIN_BASE_MS 0.5
 #define MAX_BASE_MS 100.0
+#define BASE_STEP_MS 0.25
+#define BASE_QUANTILE 0.2
 /* Factors at which a server begins and ceases to be called slow. */
 #define SLOW_FROM 2.0
 #define SLOW_UNTIL 1.4
 #define DEFAULT_TOKEN_MS 0.021 /* of a model of weight 1, without samples */
 
+/* Before any sample; a beginning that is seen repeatedly is held more often. */
+static const double first_home_chance[PACE_HOMES] = {0.5, 0.2, 0.1,
+						     0.9, 0.5, 0.2};
+
 /* Initialises without samples. */
 void pace_service_init(struct pace_service *s)
 {
 	memset(s, 0, sizeof(*s));
 	s->base_ms = DEFAULT_BASE_MS;
+	memcpy(s->home_chance, first_home_chance, sizeof(s->home_chance));
 }
 
 /* Returns the slowness last reported, decayed to the usual 1 by its age. */
@@ -79,9 +90,11 @@
 static void add_factor(struct pace_server *p, uint64_t now, double ratio)
 {
 	double was = pace_factor(p, now);
+	double age = now > p->sampled_at ? (double)(now - p->sampled_at) : 0;
+	double weight = CLAMP(age / FACTOR_SAMPLE_MS, MIN_FACTOR_WEIGHT,
+			      MAX_FACTOR_WEIGHT);
 
-	p->factor = CLAMP(was + FACTOR_WEIGHT * (ratio - was), MIN_FACTOR,
-			  MAX_FACTOR);
+	p->factor = CLAMP(was + weight * (ratio - was), MIN_FACTOR, MAX_FACTOR);
 	p->sampled_at = now;
 }
 
@@ -165,10 +178,15 @@
 	return n ? weight * sum / n : 0;
 }
 
-/* Updates what a first event takes without prefill, by the rest of its time. */
+/*
+ * Updates what a first event takes without prefill and waiting, by a time that
+ * may have more waiting in it than was known: it follows a low quantile.
+ */
 static void add_base(struct pace_service *s, double ms)
 {
-	s->base_ms += SERVICE_WEIGHT * (CLAMP(ms, 0, MAX_BASE_MS) - s->base_ms);
+	s->base_ms += BASE_STEP_MS *
+		      (ms > s->base_ms ? BASE_QUANTILE : BASE_QUANTILE - 1);
+	s->base_ms = CLAMP(s->base_ms, MIN_BASE_MS, MAX_BASE_MS);
 }
 
 /*
@@ -194,6 +212,23 @@
 	add_factor(p, now, ratio);
 }
 
+/*
+ * Updates the chance that servers of the sample's class hold what requests share,
+ * by the tokens that were read in `ms`.
+ */
+static void add_home(const struct pace_sample *sample, double ms)
+{
+	double *chance = &sample->service->home_chance[sample->home];
+	uint32_t expected = sample->tokens - sample->held_tokens;
+	double token_ms = expected ? sample->prefill_ms / expected : 0;
+	double held;
+
+	if (token_ms <= 0 || !sample->shared_tokens)
+		return;
+	held = (sample->tokens - ms / token_ms) / sample->shared_tokens;
+	*chance += SERVICE_WEIGHT * (CLAMP(held, 0, 1) - *chance);
+}
+
 /*
  * Updates the speeds by an attempt whose first event took `ms`. The time tells
  * what prefill takes only if most of it was the attempt's own prefill.
@@ -215,6 +250,10 @@
 		return;
 	}
 	ms -= s->base_ms + sample->wait_ms * speed;
+	if (sample->home != PACE_NO_HOME) {
+		add_home(sample, ms / speed);
+		return;
+	}
 	add_prefill(sample, p, now,
 		    ms / (sample->prefill_ms * sample->slowness));
 }
--- a/exchange/pace.h
+++ b/exchange/pace.h
@@ -12,6 +12,14 @@
  */
 #define PACE_MAX_MODELS 16 /* of one service; more replace the oldest */
 
+/*
+ * Classes of servers by their rank for a beginning that this node has not sent
+ * there, and by whether it has sent it anywhere lately.
+ */
+#define PACE_HOME_RANKS 3
+#define PACE_HOMES (2 * PACE_HOME_RANKS)
+#define PACE_NO_HOME PACE_HOMES
+
 /* The speed of one model at a server of usual speed. */
 struct pace_model {
 	uint64_t model; /* hash of its name; 0: unused */
@@ -29,6 +37,11 @@
 	double run_ms; /* mean time that a request holds its slot; 0: unknown */
 	double head_ms; /* of a plain request at an idle server; 0: unknown */
 	double base_ms; /* of a first event, not for prefill or waiting */
+	/*
+	 * By class: the chance that the server holds the beginning, since other
+	 * nodes have sent it there.
+	 */
+	double home_chance[PACE_HOMES];
 	double prompt_tokens; /* mean length of a prompt; 0: unknown */
 	uint64_t sent_tokens; /* prompt tokens that this node has sent */
 };
@@ -56,6 +69,9 @@
 	double crowding; /* by which running requests lengthen its steps */
 	uint32_t tokens; /* of its prompt */
 	uint32_t held_tokens; /* of these, believed to be held there */
+	uint32_t
+		home; /* class by which they are believed so, or PACE_NO_HOME */
+	uint32_t shared_tokens; /* held if home_chance of that class were 1 */
 };
 
 void pace_service_init(struct pace_service *s);
--- a/exchange/pick-shared.c
+++ b/exchange/pick-shared.c
@@ -22,15 +22,6 @@
 #define EQUAL_MS 2.0
 #define EQUAL_SHARE 0.05
 
-/*
- * The servers that all nodes prefer for a beginning, by rank. The shares are the
- * chance that a server holds it though this node has not sent it there: other
- * nodes have. It is higher if this node sees the beginning repeatedly.
- */
-#define N_HOMES 3
-static const double home_chance[N_HOMES] = {0.5, 0.2, 0.1};
-static const double recent_home_chance[N_HOMES] = {0.9, 0.5, 0.2};
-
 /* A request, and what is known for all servers. */
 struct shared_request {
 	const struct server_table *t;
@@ -42,8 +33,9 @@
 	const struct prefix_cache_entry *entries[PROMPT_MAX_PARTS];
 	uint32_t n_beginnings;
 	struct prefix_cache_limits limits;
-	const struct server_record *homes[N_HOMES];
-	const double *home_chance;
+	/* The servers that all nodes prefer for the shared beginning, by rank. */
+	const struct server_record *homes[PACE_HOME_RANKS];
+	uint32_t first_home; /* class of the first of them */
 };
 
 /* What is expected of a server. */
@@ -104,24 +96,24 @@
 static void find_homes(struct shared_request *r)
 {
 	const struct server_table *t = r->t;
-	uint64_t rank[N_HOMES] = {0};
+	uint64_t rank[PACE_HOME_RANKS] = {0};
 
 	for (guint i = 0; r->c->affinity && i < t->all->len; i++) {
 		const struct server_record *s = t->all->pdata[i];
 		uint64_t is;
-		uint32_t at = N_HOMES;
+		uint32_t at = PACE_HOME_RANKS;
 
 		if (!pick_is_candidate(s, r->now, r->c, false))
 			continue;
 		is = pick_rank(s, r->c->affinity);
 		while (at > 0 && (!r->homes[at - 1] || is > rank[at - 1])) {
 			at--;
-			if (at + 1 == N_HOMES)
+			if (at + 1 == PACE_HOME_RANKS)
 				continue;
 			r->homes[at + 1] = r->homes[at];
 			rank[at + 1] = rank[at];
 		}
-		if (at == N_HOMES)
+		if (at == PACE_HOME_RANKS)
 			continue;
 		r->homes[at] = s;
 		rank[at] = is;
@@ -156,8 +148,7 @@
 		r.entries[i] = prefix_cache_find(
 			&t->prefixes,
 			prefix_cache_key(c->prompt->beginnings[i], c->model));
-	r.home_chance =
-		shares_are_recent(&r) ? recent_home_chance : home_chance;
+	r.first_home = shares_are_recent(&r) ? PACE_HOME_RANKS : 0;
 	find_homes(&r);
 	return r;
 }
@@ -177,27 +168,43 @@
 	return !l->has_capacity || l->capacity > 0;
 }
 
-/* Returns how many tokens of the prompt a server holds, as far as is known. */
-static double held_tokens(const struct shared_request *r,
-			  const struct server_record *s, double load)
+/* Returns how many tokens this node has sent there that are still held. */
+static uint32_t sent_tokens_held(const struct shared_request *r,
+				 const struct server_record *s,
+				 const struct prefix_cache_limits *limits)
 {
 	const struct prefix_cache_server server = cache_server(s);
-	struct prefix_cache_limits limits = r->limits;
-	double held = 0;
 	uint32_t n = 0;
 
-	if (!set_capacity(r, load, &limits))
-		return 0;
 	while (n < r->n_beginnings &&
-	       prefix_cache_holds(r->entries[n], r->now, &server, &limits))
+	       prefix_cache_holds(r->entries[n], r->now, &server, limits))
 		n++;
-	if (n)
-		held = r->c->prompt->beginning_tokens[n - 1];
-	for (uint32_t i = 0; i < N_HOMES; i++)
-		if (r->homes[i] == s)
-			held = MAX(held,
-				   r->home_chance[i] * r->c->shared_tokens);
-	return MIN(held, r->c->input_tokens);
+	return n ? r->c->prompt->beginning_tokens[n - 1] : 0;
+}
+
+/* Sets how many tokens of the prompt the server holds, as far as is known. */
+static void set_held(const struct shared_request *r,
+		     const struct server_record *s, double load,
+		     struct pace_sample *p)
+{
+	struct prefix_cache_limits limits = r->limits;
+	double held;
+
+	p->home = PACE_NO_HOME;
+	if (!set_capacity(r, load, &limits))
+		return;
+	held = sent_tokens_held(r, s, &limits);
+	for (uint32_t i = 0; i < PACE_HOME_RANKS; i++) {
+		uint32_t home = r->first_home + i;
+		double chance = r->pace->home_chance[home];
+
+		if (r->homes[i] != s || held >= r->c->shared_tokens)
+			continue;
+		p->home = home;
+		p->shared_tokens = r->c->shared_tokens;
+		held = MAX(held, chance * r->c->shared_tokens);
+	}
+	p->held_tokens = (uint32_t)MIN(held, r->c->input_tokens);
 }
 
 /* Returns by what times at a server are longer than usual, but for slowness. */
@@ -218,7 +225,7 @@
 	double run_ms = r->pace->run_ms > 0 ? r->pace->run_ms : DEFAULT_RUN_MS;
 
 	p->crowding = 1 + MIN(e->load / e->slots, 1);
-	p->held_tokens = (uint32_t)held_tokens(r, s, e->load);
+	set_held(r, s, e->load, p);
 	p->prefill_ms =
 		(p->tokens - p->held_tokens) * r->token_ms * p->crowding;
 	p->wait_ms = (s->prefill + s->peer_prefill) * r->unit_ms;
