--- a/exchange/pick-shared.c
+++ b/exchange/pick-shared.c
@@ -293,7 +293,7 @@
 					bool ejected_too, struct rng *rng)
 {
 	GPtrArray *all = r->t->all;
-	g_autofree double *cost = g_new(double, all->len + 1);
+	double *cost = g_new(double, all->len + 1);
 	struct server_record *chosen = NULL;
 	double best = DBL_MAX;
 	uint32_t n = 0;
@@ -311,6 +311,7 @@
 		if (cost[i] <= best * (1 + EQUAL_SHARE) + EQUAL_MS &&
 		    !rng_below(rng, ++n))
 			chosen = all->pdata[i];
+	g_free(cost);
 	return chosen;
 }
 
