daemon: let a deployment ask for measured placement where room is scarce

Cause: the first of the two deployments reports three load figures, so its services never count as sharing machines; its settings name the contract 'pressure' instead. Change: a setting 'features', filled from the deployment's contracts. With 'pressure', load reports without the fourth figure count as a machine as usual, which turns the measured choice of servers on. Ruled out: the new behaviour for all services that report any load; earlier deployments are to be served as before.

--- a/daemon/gateway.c
+++ b/daemon/gateway.c
@@ -25,6 +25,7 @@
 #include "relay/probe-task.h"
 #include "rollout/shift-task.h"
 
+#define CONTENTION_FEATURE "pressure"
 #define TICK_MS 100 /* duration of a tick */
 #define SETTINGS_CHECK_TICKS 10
 #define CLEANUP_TICKS 10
@@ -406,6 +407,7 @@
 
 	budget_set_params(&g->budget, &p);
 	cascade_parse(&g->cascade, g->settings->quality_targets);
+	g->contended = settings_has_feature(g->settings, CONTENTION_FEATURE);
 }
 
 /* Reads the settings file again; invalid settings change nothing. */
--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -65,6 +65,11 @@
 	GPtrArray *pending_requests; /* struct pending_request */
 	struct retry_budget budget;
 	struct cascade_targets cascade;
+	/*
+	 * Clients compete for the room of the servers: servers are chosen by
+	 * measured times also if they do not share their machines.
+	 */
+	bool contended;
 	struct platform_feed *feed;
 	const struct feed_handlers *feed_handlers; /* called by the feed */
 	struct fleet_task *fleet;
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -89,6 +89,9 @@
 	TEXT(quality_targets, false, 1, 256,
 	     "quality target by priority, 0 to 1, separated by commas; the "
 	     "last one also applies to all further priorities"),
+	TEXT(features, false, 0, 1024,
+	     "optional behaviours that the deployment asks for, separated by "
+	     "commas; names that are not known are ignored"),
 	REAL(session_s, 0, 3600,
 	     "longest time between two requests of one session"),
 	REAL(prefix_memory_s, 0, 3600,
@@ -186,6 +189,15 @@
 	return from_object(jcheck_parse(source, text, settings_keys, err), err);
 }
 
+/* Returns whether the deployment asks for an optional behaviour. */
+bool settings_has_feature(const struct node_settings *s, const char *name)
+{
+	g_auto(GStrv) names =
+		g_strsplit(s->features ? s->features : "", ",", -1);
+
+	return g_strv_contains((const char *const *)names, name);
+}
+
 /* Frees settings; NULL is allowed. */
 void settings_free(struct node_settings *s)
 {
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -49,6 +49,7 @@
 	double expose_slack;
 	double session_s;
 	double prefix_memory_s;
+	char *features; /* names, separated by commas; NULL: none */
 	char *quality_targets; /* "0.9,...", 0 to 1, by priority from the first */
 };
 
@@ -57,6 +58,7 @@
 struct node_settings *settings_read(const char *path, GError **err);
 struct node_settings *settings_parse(const char *source, const char *text,
 				     GError **err);
+bool settings_has_feature(const struct node_settings *s, const char *name);
 void settings_free(struct node_settings *s);
 
 #endif
--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -678,6 +678,8 @@
 			     &percent) < 3)
 		return;
 	server_on_load_report(x->server, now, running, waiting, slots);
+	if (!percent && x->g->contended)
+		percent = PACE_USUAL_PERCENT;
 	if (!x->helper &&
 	    server_on_slowness_report(&x->g->servers, x->server, now, percent))
 		log_event(LOG_EVENT_SHARED_MACHINES,
--- a/exchange/pace.h
+++ b/exchange/pace.h
@@ -10,6 +10,7 @@
  * and how each server's speed compares with that. Times are milliseconds of the
  * node's own clock.
  */
+#define PACE_USUAL_PERCENT 100 /* slowness figure of a machine as usual */
 #define PACE_MAX_MODELS 16 /* of one service; more replace the oldest */
 
 /*
