exchange: keep all nodes' requests at a cold server below its limit

A server that has just started crashes if all nodes together send it more than cold_per_s x cold_over + cold_slack requests in a second. Peers pass on how long a server is still cold.

exchange/evacuations.c holds the zones whose servers get no request, read from objects of the kind `evacuations` when evacuation_ms is set. Nodes that do not watch the store hear the set in a datagram (procedure 13) and with the state over HTTP. A node serves nothing before it knows the set.

--- a/counters.h
+++ b/counters.h
@@ -33,6 +33,8 @@
 	  "requests not sent because their client had left")                   \
 	X(BRITTLE_REFUSALS, "brittle_refusals_total",                          \
 	  "requests that a brittle server had no room for")                    \
+	X(COLD_REQUESTS, "cold_requests_total",                                \
+	  "requests sent to servers that count as cold")                       \
 	X(STORE_CALLS, "store_calls_total", "calls to the object API")         \
 	X(STORE_FAILURES, "store_failures_total",                              \
 	  "calls to the object API that failed")                               \
--- a/daemon/gateway-metrics.c
+++ b/daemon/gateway-metrics.c
@@ -30,7 +30,9 @@
 static void append_sources(const struct gateway_state *g, uint64_t now,
 			   GString *out)
 {
-	for (int i = 0; i < FEED_TOPIC_COUNT; i++)
+	for (int i = 0; i < FEED_TOPIC_COUNT; i++) {
+		if (i == FEED_EVACUATIONS && !g->reads_evacuations)
+			continue;
 		g_string_append_printf(out,
 				       "chivegw_source_lost_ms{topic=\"%s\"} "
 				       "%" G_GUINT64_FORMAT
@@ -40,6 +42,7 @@
 				       g->lost_at[i] ? now - g->lost_at[i] : 0,
 				       gateway_topic_name((enum feed_topic)i),
 				       g->complete_revision[i]);
+	}
 }
 
 static void append_builds(const struct gateway_state *g, GString *out)
@@ -62,6 +65,7 @@
 			   GString *out)
 {
 	uint32_t ready = 0, ejected = 0, limited = 0, in_flight = 0;
+	uint32_t cold = 0;
 
 	for (guint i = 0; i < g->servers.all->len; i++) {
 		const struct server_record *s = g->servers.all->pdata[i];
@@ -69,6 +73,7 @@
 		ready += s->state == SERVER_READY;
 		ejected += s->ejected_until > now;
 		limited += s->limit.per_s > 0;
+		cold += cold_is_in_force(&s->cold, now);
 		in_flight += s->in_flight;
 	}
 	append_gauge(out, "servers_ready", "servers that may get requests",
@@ -77,6 +82,9 @@
 		     ejected);
 	append_gauge(out, "servers_limited", "servers that name a limit",
 		     limited);
+	append_gauge(out, "servers_cold", "servers that count as cold", cold);
+	append_gauge(out, "zones_evacuated", "zones without requests",
+		     evacuations_count(&g->servers.evacuations));
 	append_gauge(out, "in_flight", "requests of this node at servers",
 		     in_flight);
 	append_gauge(out, "parts_blocked",
--- a/daemon/gateway.c
+++ b/daemon/gateway.c
@@ -30,6 +30,11 @@
 #define CLEANUP_TICKS 10
 #define CONFIG_STALE_AFTER_MS 1500 /* without contact to the source */
 #define WATCH_TIMEOUT_MS 30000 /* of one watch call to the platform */
+/*
+ * A watch of evacuations that has fallen silent is noticed and repeated within the
+ * time that an evacuation may take.
+ */
+#define EVACUATION_WAIT_DIVISOR 2
 #define MIN_DRAIN_MS 2600 /* the balancer needs it to see the node unready */
 /* Limits until the first configuration sets them. */
 #define INITIAL_MAX_BODY_BYTES (4 * 1024 * 1024)
@@ -54,8 +59,8 @@
 /* Returns the topic's name as logs and metrics show it. */
 const char *gateway_topic_name(enum feed_topic topic)
 {
-	static const char *const names[FEED_TOPIC_COUNT] = {"config", "servers",
-							    "rollouts"};
+	static const char *const names[FEED_TOPIC_COUNT] = {
+		"config", "servers", "rollouts", "evacuations"};
 
 	return names[topic];
 }
@@ -68,13 +73,14 @@
 }
 
 /*
- * Returns whether configuration, servers and roll-out orders, which requests
- * need, have all been read at least once.
+ * Returns whether configuration, servers, roll-out orders and evacuations, if they
+ * are read, have all been read at least once. Requests need them.
  */
 bool gateway_has_all_topics(const struct gateway_state *g)
 {
 	return g->routes && g->topic_listed[FEED_SERVERS] &&
-	       g->topic_listed[FEED_ROLLOUTS];
+	       g->topic_listed[FEED_ROLLOUTS] &&
+	       g->topic_listed[FEED_EVACUATIONS];
 }
 
 /*
@@ -110,7 +116,14 @@
 	log_event(LOG_EVENT_PAUSED, "ms=%" G_GUINT64_FORMAT " open=%zu", ms,
 		  g->open_requests);
 	g->resumed_at = gateway_now(g);
-	g->confirming = true;
+	g->unconfirmed = 1U << FEED_CONFIG;
+	if (g->reads_evacuations)
+		g->unconfirmed |= 1U << FEED_EVACUATIONS;
+	for (guint i = 0; i < g->servers.all->len; i++)
+		cold_on_pause(
+			&((struct server_record *)g->servers.all->pdata[i])
+				 ->cold,
+			g->resumed_at);
 	platform_feed_confirm(g->feed);
 	fleet_task_on_pause(g->fleet, g->resumed_at, ms);
 }
@@ -118,7 +131,7 @@
 /* Returns whether new requests wait after a pause. */
 bool gateway_is_confirming(struct gateway_state *g)
 {
-	return g->confirming &&
+	return g->unconfirmed &&
 	       gateway_now(g) - g->resumed_at <= MAX_WAIT_FOR_TOPICS_MS;
 }
 
@@ -191,6 +204,26 @@
 	http_server_set_limits(g->relay_listener, &limits);
 }
 
+/* Sets what the server's service says of cold servers. */
+static void set_cold_rule(const struct gateway_state *g,
+			  struct server_record *s)
+{
+	route_handle h = g->routes ? route_find_service(g->routes, s->service)
+				   : ROUTE_NONE;
+
+	if (h == ROUTE_NONE)
+		return;
+	s->cold.rule = cold_rule_of(
+		g->routes->services[h].cold_per_s, g->settings->cold_over,
+		g->settings->cold_slack, g->routes->services[h].cold_ms);
+}
+
+static void set_cold_rules(const struct gateway_state *g)
+{
+	for (guint i = 0; i < g->servers.all->len; i++)
+		set_cold_rule(g, g->servers.all->pdata[i]);
+}
+
 /* Puts a configuration in force if it is valid and newer than the current. */
 static void on_config(void *user, struct json_object *doc, uint64_t revision)
 {
@@ -217,6 +250,7 @@
 	json_object_put(g->config_doc);
 	g->config_doc = json_object_get(doc);
 	apply_limits(g);
+	set_cold_rules(g);
 	counter_add(&g->counter_set, COUNTER_CONFIG_APPLIED, 1);
 	log_event(LOG_EVENT_CONFIG_IN_FORCE,
 		  "revision=%" G_GUINT64_FORMAT
@@ -232,12 +266,12 @@
 	struct gateway_state *g = user;
 	const struct server_record *old = server_find(&g->servers, entry->id);
 	enum server_state before = old ? old->state : SERVER_REMOVED;
-	const struct server_record *s;
+	struct server_record *s;
 
 	g->latest_revision[FEED_SERVERS] =
 		MAX(g->latest_revision[FEED_SERVERS], entry->revision);
 	s = server_update(&g->servers, gateway_now(g), entry);
-
+	set_cold_rule(g, s);
 	if (s->state != before)
 		log_event(LOG_EVENT_SERVER_CHANGED,
 			  "server=%s service=%s address=%s zone=%s version=%s "
@@ -267,6 +301,8 @@
 		shift_task_end_listing(g->shifts);
 	else if (topic == FEED_ROLLOUTS)
 		shift_task_begin_listing(g->shifts);
+	if (topic == FEED_EVACUATIONS && !ended)
+		evacuations_begin_listing(&g->servers.evacuations);
 	if (topic != FEED_SERVERS)
 		return;
 	if (!ended) {
@@ -293,6 +329,41 @@
 	shift_task_on_order_removed(g->shifts, service);
 }
 
+static void on_evacuation(void *user, const char *zone, bool evacuated)
+{
+	struct gateway_state *g = user;
+
+	evacuations_stage(&g->servers.evacuations, zone, evacuated);
+}
+
+/* Applies a changed set of evacuated zones; `from` says for logs who told it. */
+static void apply_evacuations(struct gateway_state *g, const char *from)
+{
+	struct evacuations *e = &g->servers.evacuations;
+	g_autoptr(GPtrArray) zones = evacuations_list(e);
+	g_autofree char *text = NULL;
+
+	server_apply_evacuations(&g->servers, gateway_now(g));
+	g_ptr_array_add(zones, NULL);
+	text = g_strjoinv(",", (char **)zones->pdata);
+	log_event(LOG_EVENT_EVACUATIONS,
+		  "zones=%s revision=%" G_GUINT64_FORMAT " from=%s",
+		  *text ? text : "-", e->revision, from);
+}
+
+/* Takes up another node's set of evacuated zones if it is later than this one's. */
+void gateway_hear_evacuations(struct gateway_state *g, const GPtrArray *zones,
+			      uint64_t revision)
+{
+	if (!g->reads_evacuations ||
+	    revision <= g->servers.evacuations.revision)
+		return;
+	if (evacuations_replace(&g->servers.evacuations, zones, revision))
+		apply_evacuations(g, "node");
+	gateway_advance_revision(g, FEED_EVACUATIONS, revision);
+	platform_feed_advance(g->feed, FEED_EVACUATIONS, revision);
+}
+
 /*
  * Records that all changes of a topic up to a revision are known, whether from
  * the platform or from another node.
@@ -314,8 +385,10 @@
 	struct gateway_state *g = user;
 
 	g->lost_at[topic] = 0;
-	if (topic == FEED_CONFIG)
-		g->confirming = false;
+	g->unconfirmed &= ~(1U << topic);
+	if (topic == FEED_EVACUATIONS &&
+	    evacuations_commit(&g->servers.evacuations, revision))
+		apply_evacuations(g, "source");
 	gateway_advance_revision(g, topic, revision);
 }
 
@@ -345,7 +418,7 @@
 void gateway_set_followed_source(struct gateway_state *g, bool lost)
 {
 	for (int i = 0; i < FEED_TOPIC_COUNT; i++)
-		if (!lost)
+		if (!lost || (i == FEED_EVACUATIONS && !g->reads_evacuations))
 			g->lost_at[i] = 0;
 		else if (!g->lost_at[i])
 			g->lost_at[i] = gateway_now(g);
@@ -358,6 +431,7 @@
 	.list = on_server_listing,
 	.rollout = on_rollout,
 	.rollout_removed = on_rollout_removed,
+	.evacuation = on_evacuation,
 	.current = on_current,
 	.lost = on_source_lost,
 };
@@ -406,6 +480,7 @@
 
 	budget_set_params(&g->budget, &p);
 	cascade_parse(&g->cascade, g->settings->quality_targets);
+	set_cold_rules(g);
 }
 
 /* Reads the settings file again; invalid settings change nothing. */
@@ -635,6 +710,8 @@
 		.address = g->settings->platform_address,
 		.timeout_ms = (uint32_t)g->settings->store_timeout_ms,
 		.wait_ms = WATCH_TIMEOUT_MS,
+		.evacuation_wait_ms = (uint32_t)g->settings->evacuation_ms /
+				      EVACUATION_WAIT_DIVISOR,
 		.counter_set = &g->counter_set,
 	};
 
@@ -676,6 +753,8 @@
 	g->measured_attempts = g_ptr_array_new();
 	budget_init(&g->budget, &no_retries);
 	apply_settings(g);
+	g->reads_evacuations = settings->evacuation_ms > 0;
+	g->topic_listed[FEED_EVACUATIONS] = !g->reads_evacuations;
 	recent_sessions_init(&g->recent,
 			     (uint64_t)(1000 * settings->session_s) +
 				     SESSION_MARGIN_MS);
--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -88,7 +88,8 @@
 	uint64_t started_at;
 	struct pause_watch pause;
 	uint64_t resumed_at; /* after the last pause; 0: there was none */
-	bool confirming; /* the configuration, after that pause */
+	uint32_t unconfirmed; /* after that pause: 1 << enum feed_topic */
+	bool reads_evacuations; /* the setting at the start */
 	bool draining;
 	uint64_t drain_started_at;
 	uint32_t idle_ticks; /* without an open request while draining */
@@ -109,6 +110,8 @@
 void gateway_advance_revision(struct gateway_state *g, enum feed_topic topic,
 			      uint64_t revision);
 bool gateway_source_is_lost(const struct gateway_state *g);
+void gateway_hear_evacuations(struct gateway_state *g, const GPtrArray *zones,
+			      uint64_t revision);
 void gateway_set_followed_source(struct gateway_state *g, bool lost);
 int gateway_run(struct node_settings *settings, const char *path);
 
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -91,6 +91,14 @@
 	     "last one also applies to all further priorities"),
 	REAL(session_s, 0, 3600,
 	     "longest time between two requests of one session"),
+	REAL(cold_over, 0, 1000,
+	     "factor on the rate that a service's cold servers bear; needed "
+	     "for that rate to be kept"),
+	REAL(cold_slack, 0, 1000000,
+	     "further requests that a cold server bears in a second"),
+	INTEGER(evacuation_ms, 100, 600000,
+		"time within which the evacuation of a zone is in force; "
+		"needed for evacuations to be read"),
 	{0},
 };
 
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -48,6 +48,9 @@
 	double expose_share;
 	double expose_slack;
 	double session_s;
+	double cold_over; /* 0: no rule for cold servers */
+	double cold_slack;
+	int64_t evacuation_ms; /* 0: zones are not evacuated */
 	char *quality_targets; /* "0.9,...", 0 to 1, by priority from the first */
 };
 
--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -152,6 +152,7 @@
 		return !x->relayed;
 	return !g_ascii_strcasecmp(name, "content-length") ||
 	       !g_ascii_strcasecmp(name, names->load) ||
+	       !g_ascii_strcasecmp(name, names->cold) ||
 	       !g_ascii_strcasecmp(name, names->not_run);
 }
 
@@ -442,6 +443,18 @@
 		  x->server->in_flight, b->nodes, x->server->born);
 }
 
+/*
+ * Returns whether the attempt ended as one does whose server starts again: it was
+ * silent or broke off. One that refuses or answers with an error runs on.
+ */
+static bool server_may_restart(enum server_outcome outcome,
+			       enum http_client_outcome end)
+{
+	return outcome == SERVER_CALL_TIMED_OUT ||
+	       (outcome == SERVER_CALL_FAILED &&
+		end == HTTP_CLIENT_INTERRUPTED);
+}
+
 /* Updates what is known of the server by the attempt that has ended. */
 static void record_call_end(struct exchange_request *x,
 			    enum http_client_outcome end)
@@ -474,6 +487,8 @@
 	if (outcome == SERVER_CALL_TIMED_OUT &&
 	    gateway_now(x->g) >= x->deadline)
 		outcome = SERVER_CALL_IGNORED;
+	if (server_may_restart(outcome, end))
+		cold_on_doubt(&x->server->cold);
 	server_on_request_end(&x->g->servers, x->server, gateway_now(x->g),
 			      outcome, x->streamed ? 0 : x->head_ms);
 }
@@ -706,6 +721,8 @@
 
 	read_rate_limit(x, http_message_find(fields, names->rate_limit));
 	read_brittle(x, http_message_find(fields, names->brittle));
+	cold_on_answer(&x->server->cold, gateway_now(x->g),
+		       http_message_find(fields, names->cold));
 	if (status == 503)
 		read_pause(x, http_message_find(fields, "retry-after"));
 	if (leaving && !strcmp(leaving, "1") &&
@@ -1010,7 +1027,9 @@
 	return x->server ||
 	       ((impaired ||
 		 (!x->relayed &&
-		  server_service_is_brittle(&x->g->servers, x->service))) &&
+		  (server_service_is_brittle(&x->g->servers, x->service) ||
+		   server_service_is_suspected(&x->g->servers, now,
+					       x->service)))) &&
 		exchange_choose_helper(x, now));
 }
 
@@ -1085,6 +1104,8 @@
 			send_refusal(x, &r);
 		return;
 	}
+	INVARIANT(!x->server->evacuated,
+		  "exchange: no request for a server of an evacuated zone");
 	INVARIANT(x->server->state == SERVER_READY,
 		  "exchange: only a ready server gets a request");
 	INVARIANT(server_may_get_request(x->server, now),
@@ -1100,6 +1121,8 @@
 	x->stream_status = EVENT_STREAM_OK;
 	x->head_ms = 0;
 	x->attempt_events = 0;
+	if (cold_is_in_force(&x->server->cold, now))
+		counter_add(&x->g->counter_set, COUNTER_COLD_REQUESTS, 1);
 	server_on_request_start(x->server, now);
 	server_add_work(x->server, &x->work);
 	x->load_at_start = server_load(x->server, now);
--- a/exchange/feed.h
+++ b/exchange/feed.h
@@ -17,6 +17,7 @@
 	FEED_CONFIG,
 	FEED_SERVERS,
 	FEED_ROLLOUTS,
+	FEED_EVACUATIONS, /* only with the setting evacuation_ms */
 	FEED_TOPIC_COUNT,
 };
 
@@ -49,6 +50,8 @@
 	/* A roll-out order was added or changed. */
 	void (*rollout)(void *user, const struct feed_rollout *order);
 	void (*rollout_removed)(void *user, const char *service);
+	/* A zone is evacuated, or taken back, from the next `current` on. */
+	void (*evacuation)(void *user, const char *zone, bool evacuated);
 	/* All changes up to this revision have been reported. */
 	void (*current)(void *user, enum feed_topic topic, uint64_t revision);
 	/* The source cannot be read; the reason is for logs. */
--- a/exchange/header-names.h
+++ b/exchange/header-names.h
@@ -18,6 +18,7 @@
 	const char *leaving; /* "1": the server is about to leave */
 	const char *rate_limit; /* requests a second that the server takes */
 	const char *brittle; /* refusals a second that the server bears */
+	const char *cold; /* ms for which the server is still slow */
 	const char *not_run; /* present if the server did not run the request */
 	const char *model;
 	const char *tokens; /* of the prompt, and at most of the answer */
--- a/exchange/pick.c
+++ b/exchange/pick.c
@@ -106,7 +106,7 @@
 
 	load *= CLAMP(s->latency_ratio, MIN_LATENCY_RATIO, MAX_LATENCY_RATIO) *
 		(1 + FAILURE_RATE_FACTOR * s->failure_rate);
-	if (s->cold_until > now)
+	if (cold_is_known(&s->cold, now) || cold_is_in_force(&s->cold, now))
 		load *= COLD_FACTOR;
 	if (g_strcmp0(s->zone, c->zone) != 0)
 		load += OTHER_ZONE_LOAD_REQUESTS / MIN(slots, MAX_LOAD_SLOTS);
@@ -226,7 +226,7 @@
 
 	ms *= event_ms_ratio(t, s) *
 	      (1 + FAILURE_RATE_FACTOR * s->failure_rate);
-	if (s->cold_until > now)
+	if (cold_is_known(&s->cold, now) || cold_is_in_force(&s->cold, now))
 		ms *= COLD_FACTOR;
 	if (s->slots && server_load(s, now) >= s->slots)
 		ms += FULL_SERVER_DELAY_MS;
--- a/exchange/routes.c
+++ b/exchange/routes.c
@@ -62,6 +62,9 @@
 			    "-");
 	s->max_connections = bounded_int(o, "max_connections", 0, UINT16_MAX);
 	s->slots = bounded_int(o, "slots", 0, UINT16_MAX);
+	s->cold_ms = (uint32_t)CLAMP(1000 * jcheck_get_real(o, "cold_s", 0), 0,
+				     MAX_TIMEOUT_MS);
+	s->cold_per_s = jcheck_get_real(o, "cold_per_s", 0);
 	s->n_models = jcheck_array_length(models);
 	s->models = g_new0(struct route_model, s->n_models + 1);
 	for (size_t i = 0; i < s->n_models; i++) {
--- a/exchange/routes.h
+++ b/exchange/routes.h
@@ -65,6 +65,8 @@
 	char *name;
 	uint32_t max_connections; /* fleet to one server; 0: no limit */
 	uint32_t slots; /* of one server; 0: given by its entry */
+	uint32_t cold_ms; /* a server is slow for so long after its start */
+	double cold_per_s; /* requests that it bears then; 0: no limit */
 	struct route_model *models;
 	size_t n_models;
 };
--- a/exchange/servers.c
+++ b/exchange/servers.c
@@ -59,6 +59,7 @@
 						    g_free, g_free);
 	t->all = g_ptr_array_new_with_free_func(free_server);
 	removal_log_init(&t->removals);
+	evacuations_init(&t->evacuations);
 }
 
 /* Frees the table and all its servers. */
@@ -69,6 +70,7 @@
 	g_hash_table_unref(t->brittle_services);
 	g_ptr_array_unref(t->all);
 	removal_log_clear(&t->removals);
+	evacuations_clear(&t->evacuations);
 }
 
 /* Returns the server with an id, also if it has been removed, or NULL. */
@@ -220,16 +222,28 @@
 	struct server_record *s = server_find(t, entry->id);
 	uint64_t service = hash_name(entry->service);
 	struct brittle_notice brittle = brittle_notice_of(t, service);
+	bool is_new;
 
 	if (s && entry->revision < s->revision)
 		return s;
+	is_new = !s;
 	if (!s)
 		s = add_server(t, entry->id);
 	else if (s->state != SERVER_READY ||
-		 g_strcmp0(s->address, entry->address) != 0)
+		 g_strcmp0(s->address, entry->address) != 0) {
 		reset_statistics(s);
-	if (!is_same_boot(s, entry) || s->service_hash != service)
+		cold_on_start(&s->cold, now);
+	}
+	if (!is_same_boot(s, entry) || s->service_hash != service) {
 		reset_boot(s, &brittle);
+		if (!is_new || t->listed_once)
+			cold_on_start(&s->cold, now);
+	} else if (is_new && t->listed_once) {
+		cold_on_start(&s->cold, now);
+	}
+	/* The source gives a known entry again as it was written. */
+	if (is_new || entry->revision != s->revision)
+		cold_on_entry(&s->cold, now, entry->cold_ms);
 	s->service_hash = service;
 	set_text(&s->service, entry->service);
 	set_text(&s->address, entry->address);
@@ -237,7 +251,7 @@
 	set_text(&s->version, entry->version);
 	s->load_limit = get_load_limit(t, entry);
 	s->slots = entry->slots;
-	s->cold_until = entry->cold_ms ? now + entry->cold_ms : 0;
+	s->evacuated = evacuations_has(&t->evacuations, entry->zone);
 	s->draining = is_draining(s, entry);
 	s->state =
 		s->draining || s->said_leaving ? SERVER_DRAINING : SERVER_READY;
@@ -248,6 +262,19 @@
 	return s;
 }
 
+/*
+ * Handles what another node says is left of a server's slow phase, by an entry of
+ * a revision that may be known here.
+ */
+void server_hear_cold(struct server_table *t, uint64_t now, const char *id,
+		      uint64_t revision, uint32_t left_ms)
+{
+	struct server_record *s = server_find(t, id);
+
+	if (s && left_ms && revision >= s->revision)
+		cold_on_entry(&s->cold, now, left_ms);
+}
+
 static void remove_server(struct server_table *t, struct server_record *s)
 {
 	s->state = SERVER_REMOVED;
@@ -270,6 +297,22 @@
 	return true;
 }
 
+/*
+ * Puts the table's set of evacuated zones in force. A server whose zone is taken
+ * back counts as started now.
+ */
+void server_apply_evacuations(struct server_table *t, uint64_t now)
+{
+	for (guint i = 0; i < t->all->len; i++) {
+		struct server_record *s = t->all->pdata[i];
+		bool was_evacuated = s->evacuated;
+
+		s->evacuated = evacuations_has(&t->evacuations, s->zone);
+		if (was_evacuated && !s->evacuated)
+			cold_on_start(&s->cold, now);
+	}
+}
+
 /*
  * Starts a complete listing: servers without a server_update() until
  * server_end_listing() are removed there.
@@ -285,6 +328,8 @@
 {
 	uint32_t removed = 0;
 
+	t->listed_once = true;
+
 	for (guint i = 0; i < t->all->len; i++) {
 		struct server_record *s = t->all->pdata[i];
 
@@ -349,7 +394,9 @@
 /* Returns whether a ready server wants requests of this node now. */
 bool server_may_get_request(const struct server_record *s, uint64_t now)
 {
-	return s->paused_until <= now && rate_limit_allows(&s->limit, now) &&
+	return !s->evacuated && s->paused_until <= now &&
+	       cold_allows(&s->cold, now) &&
+	       rate_limit_allows(&s->limit, now) &&
 	       brittle_allows(&s->brittle, now, s->in_flight);
 }
 
@@ -365,8 +412,10 @@
 	for (guint i = 0; i < t->all->len; i++) {
 		const struct server_record *s = t->all->pdata[i];
 
-		if (s->state == SERVER_READY && !strcmp(s->service, service))
-			at = MIN(at, MAX(s->paused_until,
+		if (s->state == SERVER_READY && !s->evacuated &&
+		    !strcmp(s->service, service))
+			at = MIN(at, MAX(MAX(s->paused_until,
+					     cold_allowed_at(&s->cold, now)),
 					 rate_limit_allowed_at(&s->limit)));
 	}
 	return at == UINT64_MAX || at <= now ? 0 : at - now;
@@ -384,7 +433,7 @@
 	for (guint i = 0; i < t->all->len; i++) {
 		const struct server_record *s = t->all->pdata[i];
 
-		if (s->state != SERVER_READY ||
+		if (s->state != SERVER_READY || s->evacuated ||
 		    strcmp(s->service, service) != 0)
 			continue;
 		r.known += reach_is_known(&s->reach, now);
@@ -487,6 +536,29 @@
 	return false;
 }
 
+/*
+ * Returns whether all ready servers of a service count as cold, none of them by
+ * its entry: this node seems to have been cut off from them, others were not.
+ */
+bool server_service_is_suspected(const struct server_table *t, uint64_t now,
+				 const char *service)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < t->all->len; i++) {
+		const struct server_record *s = t->all->pdata[i];
+
+		if (s->state != SERVER_READY || s->evacuated ||
+		    strcmp(s->service, service) != 0)
+			continue;
+		if (!cold_is_in_force(&s->cold, now) ||
+		    cold_is_known(&s->cold, now))
+			return false;
+		n++;
+	}
+	return n > 0;
+}
+
 /*
  * Handles an answer in which the server says that it leaves. Returns true if
  * the server was ready until now.
@@ -636,6 +708,7 @@
 void server_on_request_start(struct server_record *s, uint64_t now)
 {
 	s->in_flight++;
+	cold_count(&s->cold, now);
 	rate_limit_count(&s->limit, now);
 }
 
--- a/exchange/servers.h
+++ b/exchange/servers.h
@@ -6,6 +6,8 @@
 #include <stdint.h>
 
 #include "exchange/brittle.h"
+#include "exchange/cold.h"
+#include "exchange/evacuations.h"
 #include "exchange/rate-limit.h"
 #include "exchange/removals.h"
 #include "relay/reach.h"
@@ -55,7 +57,8 @@
 	uint64_t hash; /* of id */
 	uint64_t service_hash;
 	uint32_t slots;
-	uint64_t cold_until; /* 0: not cold */
+	struct cold_state cold;
+	bool evacuated; /* its zone is: it gets no request */
 	enum server_state state;
 	uint64_t revision; /* of the entry */
 	uint64_t born; /* of the entry */
@@ -105,6 +108,8 @@
 	GHashTable *brittle_services;
 	GPtrArray *all;
 	struct removal_log removals;
+	struct evacuations evacuations;
+	bool listed_once; /* servers first seen from now on are new */
 	double mean_head_ms; /* mean time to the head of plain answers */
 	double mean_event_ms; /* mean event_ms of all servers */
 	double base_delay_ms; /* time to a first event at an idle server */
@@ -135,7 +140,12 @@
 					  uint64_t hash);
 struct server_record *server_update(struct server_table *t, uint64_t now,
 				    const struct server_entry *entry);
+void server_hear_cold(struct server_table *t, uint64_t now, const char *id,
+		      uint64_t revision, uint32_t left_ms);
 bool server_remove(struct server_table *t, const char *id, uint64_t revision);
+void server_apply_evacuations(struct server_table *t, uint64_t now);
+bool server_service_is_suspected(const struct server_table *t, uint64_t now,
+				 const char *service);
 void server_begin_listing(struct server_table *t);
 uint32_t server_end_listing(struct server_table *t);
 void server_on_pause(struct server_record *s, uint64_t now, uint64_t ms);
--- a/fleet/fleet-task.c
+++ b/fleet/fleet-task.c
@@ -9,6 +9,7 @@
 #include "daemon/version.h"
 #include "exchange/peer-limits.h"
 #include "fleet/builds.h"
+#include "fleet/evacuation-task.h"
 #include "fleet/findings-task.h"
 #include "fleet/member-transfer.h"
 #include "fleet/peer-news.h"
@@ -36,6 +37,7 @@
 #define WATCH_ROLE "watch" /* nodes that watch the source, by rank */
 #define LOAD_FANOUT 16 /* nodes that a load message is sent to */
 #define BRITTLE_RANK_INTERVAL_MS 1000
+#define COLD_RANK_INTERVAL_MS 1000
 #define EVALUATORS 2 /* nodes that get a roll-out's reports, by rank */
 
 struct fleet_task {
@@ -58,6 +60,8 @@
 	uint64_t lower_status_at; /* last source status of a lower rank */
 	uint64_t next_source_status_at;
 	struct source_follow follow;
+	uint64_t next_cold_at; /* ranks for cold servers are set anew */
+	struct evacuation_task evacuations;
 	struct findings_task *findings;
 	struct peer_news news[FEED_TOPIC_COUNT];
 	bool logged_behind[FEED_TOPIC_COUNT];
@@ -289,7 +293,8 @@
 	for (int i = 0; i < FEED_TOPIC_COUNT; i++) {
 		if (g->lost_at[i] || !g->topic_listed[i])
 			return;
-		s.changed[i] = g->latest_revision[i];
+		if (i < FLEET_WIRE_TOPICS)
+			s.changed[i] = g->latest_revision[i];
 	}
 	g_strlcpy(s.node, g->settings->node, sizeof(s.node));
 	fleet_task_send_to_all(
@@ -332,7 +337,10 @@
 	};
 
 	fill_known_changes(t->g, known);
-	view.caught_up = source_follow_is_caught_up(&t->follow, now, known);
+	view.caught_up =
+		source_follow_is_caught_up(&t->follow, now, known) &&
+		!(source_follow_hears_status(&t->follow, now) &&
+		  evacuation_task_is_uninformed(&t->evacuations, t->g, now));
 	t->watch_role = watch_plan_decide(&t->watch_plan, now, &view);
 	platform_feed_set_watchers(t->g->feed, t->watch_role.watchers,
 				   view.rank);
@@ -377,7 +385,7 @@
 	bool any = peer_loads_report(&t->g->servers, t->g->settings->node, &l);
 	size_t len;
 
-	for (int i = 0; i < FEED_TOPIC_COUNT; i++)
+	for (int i = 0; i < FLEET_WIRE_TOPICS; i++)
 		l.changed[i] = t->g->latest_revision[i];
 	if (!members->len ||
 	    (!any && !t->sent_load &&
@@ -471,6 +479,75 @@
 	}
 }
 
+/* Returns whether this node is the only one that it knows of some others. */
+static bool is_isolated(const struct fleet_task *t)
+{
+	g_auto(GStrv) list = split_seeds(t);
+	struct member_addr addr;
+
+	if (fleet_task_live_count(t) > 1)
+		return false;
+	for (char **s = list; *s; s++)
+		if (parse_seed(t, *s, &addr))
+			return true;
+	return false;
+}
+
+/* Logs, once each, that the server counts as cold and that it does not any more. */
+static void log_cold(struct server_record *s, uint64_t now, bool cold)
+{
+	if (s->cold.logged == cold)
+		return;
+	s->cold.logged = cold;
+	if (!cold) {
+		log_event(LOG_EVENT_SERVER_WARM, "server=%s", s->id);
+		return;
+	}
+	log_event(LOG_EVENT_SERVER_COLD,
+		  "server=%s service=%s known=%d left_ms=%u most=%u "
+		  "spacing_ms=%u",
+		  s->id, s->service, cold_is_known(&s->cold, now),
+		  cold_left_ms(&s->cold, now), s->cold.rule.max_requests,
+		  s->cold.spacing_ms);
+}
+
+/*
+ * Sets this node's part of the requests of each server that counts as cold. All
+ * members count that are still known, also dead ones: a node that is cut off must
+ * not take the parts of those that it does not see.
+ */
+static void divide_cold(struct fleet_task *t, uint64_t now)
+{
+	const GPtrArray *servers = t->g->servers.all;
+	struct rank_view v = live_nodes(t);
+	const struct tenure_view others = view_of_others(t);
+	bool may_share =
+		tenure_is_valid(&t->tenure, now, &others) && !is_isolated(t);
+	bool all = now >= t->next_cold_at;
+
+	v.now = now;
+	v.hold_ms = UINT64_MAX;
+	if (all)
+		t->next_cold_at = now + COLD_RANK_INTERVAL_MS;
+	for (guint i = 0; i < servers->len; i++) {
+		struct server_record *s = servers->pdata[i];
+		bool cold = s->state == SERVER_READY &&
+			    cold_is_in_force(&s->cold, now);
+		uint32_t nodes;
+
+		if (!cold) {
+			cold_clear_rank(&s->cold);
+		} else if (!s->cold.ranked || all) {
+			nodes = rank_count_nodes(&v);
+			cold_set_rank(&s->cold,
+				      may_share ? rank_of_self(&v, s->id)
+						: nodes,
+				      nodes);
+		}
+		log_cold(s, now, cold);
+	}
+}
+
 /* Sets this node's shares of servers that have just been found to be brittle. */
 void fleet_task_on_brittle(struct fleet_task *t, uint64_t now)
 {
@@ -530,8 +607,11 @@
 	findings_task_tick(t->findings, now);
 	divide_limits(t);
 	divide_slots(t, now);
+	divide_cold(t, now);
 	send_source_status(t, now);
 	update_watch_role(t, now);
+	evacuation_task_tick(&t->evacuations, t->g, t, now,
+			     t->watch_role.announces);
 	peer_task_log_changes(&t->members, &t->logged);
 	log_builds(t, now);
 }
@@ -687,7 +767,7 @@
 	struct gateway_state *g = t->g;
 	uint64_t now = gateway_now(g);
 
-	for (int i = 0; i < FEED_TOPIC_COUNT; i++) {
+	for (int i = 0; i < FLEET_WIRE_TOPICS; i++) {
 		uint64_t known = latest_known_change(g, (enum feed_topic)i);
 		struct peer_news *n = &t->news[i];
 		bool later_era = feed_revision_era(changed[i]) >
@@ -707,7 +787,7 @@
 			     size_t len, const struct sockaddr_in *from)
 {
 	struct fleet_wire_source s;
-	struct source_comparison c;
+	struct source_comparison c = {.same_servers = false};
 	uint64_t now = gateway_now(t->g);
 
 	if (fleet_wire_decode_source(bytes, len, t->g->settings->cluster_key,
@@ -719,7 +799,7 @@
 	    rank_hash_node(rank_hash_role(WATCH_ROLE), t->g->settings->node))
 		t->lower_status_at = now;
 	c.same_servers = s.servers == server_table_digest(&t->g->servers);
-	memcpy(c.reported, s.changed, sizeof(c.reported));
+	memcpy(c.reported, s.changed, sizeof(s.changed));
 	fill_known_changes(t->g, c.known);
 	if (source_follow_on_status(&t->follow, now, &c) &&
 	    !t->watch_role.watches)
@@ -801,6 +881,10 @@
 	case FLEET_WIRE_LOAD_LIMITS:
 		findings_task_on_load_limits(t->findings, bytes, (size_t)len);
 		break;
+	case FLEET_WIRE_EVACUATIONS:
+		evacuation_task_on_message(&t->evacuations, t->g, bytes,
+					   (size_t)len);
+		break;
 	case FLEET_WIRE_SESSIONS:
 		on_sessions(t, bytes, (size_t)len);
 		break;
@@ -820,6 +904,7 @@
 	t->g = g;
 	t->findings = findings_task_new(g, t);
 	t->tenure.started_at = gateway_now(g);
+	t->evacuations.heard_at = t->tenure.started_at;
 	address_parse(g->settings->peer_address, &sa, NULL);
 	t->self.ip = ntohl(sa.sin_addr.s_addr);
 	t->self.port = ntohs(sa.sin_port);
--- a/fleet/source-follow.c
+++ b/fleet/source-follow.c
@@ -41,10 +41,16 @@
 	return !f->differs_since || now - f->differs_since <= MAX_MISSING_MS;
 }
 
+/* Returns whether statuses arrive. */
+bool source_follow_hears_status(const struct source_follow *f, uint64_t now)
+{
+	return f->status_at && now - f->status_at < STATUS_MAX_AGE_MS;
+}
+
 /* Returns whether statuses arrive and this node has got what they say. */
 bool source_follow_is_safe(const struct source_follow *f, uint64_t now,
 			   const uint64_t *known)
 {
-	return f->status_at && now - f->status_at < STATUS_MAX_AGE_MS &&
+	return source_follow_hears_status(f, now) &&
 	       source_follow_is_caught_up(f, now, known);
 }
--- a/fleet/source-follow.h
+++ b/fleet/source-follow.h
@@ -28,6 +28,7 @@
 			     const struct source_comparison *c);
 bool source_follow_is_caught_up(const struct source_follow *f, uint64_t now,
 				const uint64_t *known);
+bool source_follow_hears_status(const struct source_follow *f, uint64_t now);
 bool source_follow_is_safe(const struct source_follow *f, uint64_t now,
 			   const uint64_t *known);
 
--- a/fleet/state-task.c
+++ b/fleet/state-task.c
@@ -35,6 +35,9 @@
 /* Asks for the configuration packed. Older nodes ignore it and send it plain. */
 #define PACKED_PARAM "&packed=1"
 
+/* Asks for the evacuated zones if they are of a later revision than the number. */
+#define EVACUATIONS_PARAM "&evacuations="
+
 struct peer_state {
 	struct gateway_state *g;
 	/* The configuration in force as sent to peers; NULL: not packed yet. */
@@ -77,7 +80,8 @@
 	json_object_object_add(o, key, json_object_new_int64((int64_t)n));
 }
 
-static struct json_object *server_to_json(const struct server_record *s)
+static struct json_object *server_to_json(const struct server_record *s,
+					  uint64_t now)
 {
 	struct json_object *o = json_object_new_object();
 
@@ -91,12 +95,14 @@
 			       json_object_new_boolean(s->draining));
 	add_number(o, "revision", s->revision);
 	add_number(o, "born", s->born);
+	if (cold_left_ms(&s->cold, now))
+		add_number(o, "cold_ms", cold_left_ms(&s->cold, now));
 	return o;
 }
 
 /* Lists the servers that changed after revision `since`; 0: all. */
 static struct json_object *changed_servers_to_json(const struct server_table *t,
-						   uint64_t since)
+						   uint64_t now, uint64_t since)
 {
 	struct json_object *list = json_object_new_array();
 
@@ -104,7 +110,7 @@
 		const struct server_record *s = t->all->pdata[i];
 
 		if (s->state != SERVER_REMOVED && s->revision > since)
-			json_object_array_add(list, server_to_json(s));
+			json_object_array_add(list, server_to_json(s, now));
 	}
 	return list;
 }
@@ -131,7 +137,7 @@
  * knows if it asked for that and the log of removals goes back so far, else
  * all of them.
  */
-static void add_servers(const struct gateway_state *g, struct json_object *o,
+static void add_servers(struct gateway_state *g, struct json_object *o,
 			const char *path)
 {
 	uint64_t since = query_number(path, "servers=");
@@ -139,8 +145,9 @@
 	if (!strstr(path, CHANGES_ONLY_PARAM) ||
 	    !removal_log_covers(&g->servers.removals, since))
 		since = 0;
-	json_object_object_add(o, "servers",
-			       changed_servers_to_json(&g->servers, since));
+	json_object_object_add(
+		o, "servers",
+		changed_servers_to_json(&g->servers, gateway_now(g), since));
 	if (since)
 		json_object_object_add(o, "servers_gone",
 				       removed_servers_to_json(g, since));
@@ -195,6 +202,28 @@
 		MAX_RESPONSE_BYTES);
 }
 
+/* Returns whether the requester reads evacuations and knows an earlier set. */
+static bool wants_evacuations(const struct gateway_state *g, const char *path)
+{
+	return g->reads_evacuations && g->topic_listed[FEED_EVACUATIONS] &&
+	       strstr(path, EVACUATIONS_PARAM) &&
+	       g->servers.evacuations.revision >
+		       query_number(path, EVACUATIONS_PARAM);
+}
+
+static void add_evacuations(const struct gateway_state *g,
+			    struct json_object *o)
+{
+	g_autoptr(GPtrArray) zones = evacuations_list(&g->servers.evacuations);
+	struct json_object *list = json_object_new_array();
+
+	for (guint i = 0; i < zones->len; i++)
+		json_object_array_add(list,
+				      json_object_new_string(zones->pdata[i]));
+	json_object_object_add(o, "evacuations", list);
+	add_number(o, "evacuations_as_of", g->servers.evacuations.revision);
+}
+
 /*
  * Answers a node's request for state with those parts of which this node has
  * a later revision than the request names. Replies with status 403 without
@@ -233,6 +262,8 @@
 		add_number(o, "rollouts_changed",
 			   g->latest_revision[FEED_ROLLOUTS]);
 	}
+	if (knows_eras && wants_evacuations(g, http_server_path(req)))
+		add_evacuations(g, o);
 	http_server_reply_json(
 		req, 200,
 		json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN));
@@ -277,10 +308,14 @@
 		.draining = json_object_get_boolean(jcheck_get(o, "draining")),
 		.revision = (uint64_t)jcheck_get_int(o, "revision", 0),
 		.born = (uint64_t)jcheck_get_int(o, "born", 0),
+		.cold_ms = (uint32_t)jcheck_get_int(o, "cold_ms", 0),
 	};
 
-	if (entry.id && entry.service && entry.address)
-		g->feed_handlers->server(g, &entry);
+	if (!entry.id || !entry.service || !entry.address)
+		return;
+	g->feed_handlers->server(g, &entry);
+	server_hear_cold(&g->servers, gateway_now(g), entry.id, entry.revision,
+			 entry.cold_ms);
 }
 
 /* Records that a peer has sent all changes of a topic up to a revision. */
@@ -347,6 +382,26 @@
 	advance(g, FEED_ROLLOUTS, complete_revision);
 }
 
+static void apply_evacuations(struct gateway_state *g,
+			      struct json_object *response)
+{
+	struct json_object *list = jcheck_get(response, "evacuations");
+	g_autoptr(GPtrArray) zones = g_ptr_array_new();
+
+	if (!list)
+		return;
+	for (size_t i = 0; i < jcheck_array_length(list); i++) {
+		struct json_object *zone = json_object_array_get_idx(list, i);
+
+		if (json_object_is_type(zone, json_type_string))
+			g_ptr_array_add(zones,
+					(char *)json_object_get_string(zone));
+	}
+	gateway_hear_evacuations(
+		g, zones,
+		(uint64_t)jcheck_get_int(response, "evacuations_as_of", 0));
+}
+
 static void apply_response(struct peer_state *t)
 {
 	struct gateway_state *g = t->g;
@@ -363,6 +418,7 @@
 			(uint64_t)jcheck_get_int(response, "config_as_of", 0));
 	apply_servers(g, response);
 	apply_rollouts(g, response);
+	apply_evacuations(g, response);
 	if (config)
 		log_event(LOG_EVENT_STATE_FROM_PEER,
 			  "from=%s config_before=%" G_GUINT64_FORMAT
@@ -418,10 +474,16 @@
 		g->routes ? g->routes->revision : 0,
 		g->complete_revision[FEED_SERVERS],
 		g->complete_revision[FEED_ROLLOUTS]);
+	g_autofree char *full_path =
+		g->reads_evacuations
+			? g_strdup_printf("%s" EVACUATIONS_PARAM
+					  "%" G_GUINT64_FORMAT,
+					  path, g->servers.evacuations.revision)
+			: g_strdup(path);
 	struct http_client_request req = {
 		.address = t->address,
 		.method = "GET",
-		.path = path,
+		.path = full_path,
 		.headers = headers,
 		.omit_content_length = true,
 		.new_connection = true, /* its answer names no call */
--- a/log-event.h
+++ b/log-event.h
@@ -68,6 +68,9 @@
 	X(RELAY_ACCEPTED, 719, MESSAGE, "request from another node")           \
 	X(LOAD_LIMIT, 715, WARNING, "servers fail beyond a load")              \
 	X(SERVER_LIMIT, 712, MESSAGE, "server named a limit")                  \
+	X(EVACUATIONS, 730, WARNING, "evacuated zones changed")                \
+	X(SERVER_COLD, 731, MESSAGE, "server counts as cold")                  \
+	X(SERVER_WARM, 732, MESSAGE, "server no longer counts as cold")        \
 	X(SERVERS_LISTED, 711, MESSAGE, "servers listed")
 
 enum log_event_id {
--- a/relay/probe-task.c
+++ b/relay/probe-task.c
@@ -43,6 +43,7 @@
 	if (reach_is_lost(&s->reach))
 		log_reach(s, true);
 	reach_on_contact(&s->reach, now);
+	cold_on_contact(&s->cold, now);
 }
 
 static void start_due_probes(struct probe_task *t, uint64_t now);
@@ -125,6 +126,7 @@
 	bool was_lost = reach_is_lost(&s->reach);
 
 	reach_on_failure(&s->reach, now);
+	cold_on_doubt(&s->cold);
 	if (!was_lost)
 		log_reach(s, false);
 	doubt_others(t, now, !was_lost);
--- a/wire/fleet-codec.c
+++ b/wire/fleet-codec.c
@@ -17,6 +17,7 @@
 #define PROC_CRASHES 10
 #define PROC_LOAD_LIMITS 11
 #define PROC_BRITTLE 12
+#define PROC_EVACUATIONS 13
 #define PROC_OFFSET 20 /* of the procedure in an ONC RPC call, in bytes */
 
 /*
@@ -46,6 +47,8 @@
 		return FLEET_WIRE_LOAD_LIMITS;
 	case PROC_BRITTLE:
 		return FLEET_WIRE_BRITTLE;
+	case PROC_EVACUATIONS:
+		return FLEET_WIRE_EVACUATIONS;
 	default:
 		return FLEET_WIRE_MEMBERSHIP;
 	}
@@ -575,3 +578,50 @@
 	xdr_free((xdrproc_t)xdr_fleet_load_limits, (char *)&w);
 	return error;
 }
+
+/*
+ * Encodes and signs the evacuated zones. Returns the length in bytes, or 0 if it
+ * does not fit.
+ */
+size_t fleet_wire_encode_evacuations(const struct fleet_wire_evacuations *m,
+				     const char *key, uint8_t *buf, size_t size)
+{
+	fleet_zone zones[FLEET_WIRE_MAX_ZONES];
+	struct fleet_evacuations w = {
+		.node = (char *)m->node,
+		.revision = m->revision,
+		.zones = {.zones_len = m->n, .zones_val = zones},
+	};
+
+	for (uint32_t i = 0; i < m->n; i++)
+		zones[i] = (char *)m->zone[i];
+	return encode(PROC_EVACUATIONS, (xdrproc_t)xdr_fleet_evacuations, &w,
+		      key, buf, size);
+}
+
+/*
+ * Verifies and decodes the evacuated zones into `m`, which is zeroed on an error.
+ * Returns PEER_WIRE_OK or what was wrong.
+ */
+enum peer_wire_error
+fleet_wire_decode_evacuations(const uint8_t *buf, size_t len, const char *key,
+			      struct fleet_wire_evacuations *m)
+{
+	struct fleet_evacuations w;
+	enum peer_wire_error error;
+
+	memset(&w, 0, sizeof(w));
+	memset(m, 0, sizeof(*m));
+	error = decode(PROC_EVACUATIONS, (xdrproc_t)xdr_fleet_evacuations, &w,
+		       key, buf, len);
+	if (error == PEER_WIRE_OK) {
+		g_strlcpy(m->node, w.node, sizeof(m->node));
+		m->revision = w.revision;
+		m->n = MIN(w.zones.zones_len, FLEET_WIRE_MAX_ZONES);
+		for (uint32_t i = 0; i < m->n; i++)
+			g_strlcpy(m->zone[i], w.zones.zones_val[i],
+				  sizeof(m->zone[i]));
+	}
+	xdr_free((xdrproc_t)xdr_fleet_evacuations, (char *)&w);
+	return error;
+}
--- a/wire/fleet-codec.h
+++ b/wire/fleet-codec.h
@@ -25,6 +25,7 @@
 	FLEET_WIRE_CRASHES,
 	FLEET_WIRE_LOAD_LIMITS,
 	FLEET_WIRE_BRITTLE,
+	FLEET_WIRE_EVACUATIONS,
 };
 
 /* A node's counts in the roll-out of a service to its target version. */
@@ -144,6 +145,16 @@
 	uint64_t changed[FLEET_WIRE_TOPICS]; /* revision, by feed_topic */
 };
 
+#define FLEET_WIRE_MAX_ZONES 12 /* in one message */
+
+/* The evacuated zones, with the revision up to which the sender knows changes. */
+struct fleet_wire_evacuations {
+	char node[SHIFT_NAME_MAX];
+	uint64_t revision;
+	uint32_t n;
+	char zone[FLEET_WIRE_MAX_ZONES][SHIFT_NAME_MAX];
+};
+
 enum fleet_wire_kind fleet_wire_kind_of(const uint8_t *buf, size_t len);
 size_t fleet_wire_encode_report(const struct fleet_wire_report *r,
 				const char *key, uint8_t *buf, size_t size);
@@ -191,5 +202,11 @@
 enum peer_wire_error fleet_wire_decode_source(const uint8_t *buf, size_t len,
 					      const char *key,
 					      struct fleet_wire_source *s);
+size_t fleet_wire_encode_evacuations(const struct fleet_wire_evacuations *m,
+				     const char *key, uint8_t *buf,
+				     size_t size);
+enum peer_wire_error
+fleet_wire_decode_evacuations(const uint8_t *buf, size_t len, const char *key,
+			      struct fleet_wire_evacuations *m);
 
 #endif
--- a/wire/fleet-xdr.c
+++ b/wire/fleet-xdr.c
@@ -339,6 +339,31 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fleet_zone (XDR *xdrs, fleet_zone *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, objp, FLEET_NAME_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fleet_evacuations (XDR *xdrs, fleet_evacuations *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->node, FLEET_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->zones.zones_val, (u_int *) &objp->zones.zones_len, FLEET_ZONES_MAX,
+		sizeof (fleet_zone), (xdrproc_t) xdr_fleet_zone))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fleet_source (XDR *xdrs, fleet_source *objp)
 {
--- a/wire/fleet.h
+++ b/wire/fleet.h
@@ -23,6 +23,7 @@
 #define FLEET_CRASHES_MAX 32
 #define FLEET_LOAD_LIMITS_MAX 32
 #define FLEET_BRITTLE_MAX 32
+#define FLEET_ZONES_MAX 12
 
 struct fleet_cell {
 	u_quad_t route;
@@ -157,6 +158,18 @@
 };
 typedef struct fleet_brittle_list fleet_brittle_list;
 
+typedef char *fleet_zone;
+
+struct fleet_evacuations {
+	char *node;
+	u_quad_t revision;
+	struct {
+		u_int zones_len;
+		fleet_zone *zones_val;
+	} zones;
+};
+typedef struct fleet_evacuations fleet_evacuations;
+
 struct fleet_source {
 	char *node;
 	u_quad_t servers;
@@ -193,6 +206,8 @@
 extern  bool_t xdr_fleet_load_limits (XDR *, fleet_load_limits*);
 extern  bool_t xdr_fleet_brittle (XDR *, fleet_brittle*);
 extern  bool_t xdr_fleet_brittle_list (XDR *, fleet_brittle_list*);
+extern  bool_t xdr_fleet_zone (XDR *, fleet_zone*);
+extern  bool_t xdr_fleet_evacuations (XDR *, fleet_evacuations*);
 extern  bool_t xdr_fleet_source (XDR *, fleet_source*);
 extern  bool_t xdr_fleet_plan (XDR *, fleet_plan*);
 
@@ -212,6 +227,8 @@
 extern bool_t xdr_fleet_load_limits ();
 extern bool_t xdr_fleet_brittle ();
 extern bool_t xdr_fleet_brittle_list ();
+extern bool_t xdr_fleet_zone ();
+extern bool_t xdr_fleet_evacuations ();
 extern bool_t xdr_fleet_source ();
 extern bool_t xdr_fleet_plan ();
 
--- a/wire/fleet.x
+++ b/wire/fleet.x
@@ -15,6 +15,7 @@
 const FLEET_CRASHES_MAX = 32;
 const FLEET_LOAD_LIMITS_MAX = 32;
 const FLEET_BRITTLE_MAX = 32;
+const FLEET_ZONES_MAX = 12;
 
 struct fleet_cell {
 	unsigned hyper route;
@@ -110,6 +111,14 @@
 	fleet_brittle list<FLEET_BRITTLE_MAX>;
 };
 
+typedef string fleet_zone<FLEET_NAME_MAX>;
+
+struct fleet_evacuations {
+	string node<FLEET_NAME_MAX>;
+	unsigned hyper revision;
+	fleet_zone zones<FLEET_ZONES_MAX>;
+};
+
 struct fleet_source {
 	string node<FLEET_NAME_MAX>;
 	unsigned hyper servers;
