--- a/t/lib-routes.sh
+++ b/t/lib-routes.sh
@@ -36,13 +36,14 @@
 }
 
 # put_server N SERVICE VERSION STATE: writes a backend server's object; BORN is
-# the time of its start, if set.
+# the time of its start, ZONE its zone and COLD_LEFT for how many ms it is cold, if set.
 put_server() {
-	put_object "servers/i-$1" "{\"spec\":{\"service\":\"$2\",\"addr\":\"$(backend_address "$1")\",\"zone\":\"z1\",\"version\":\"$3\",\"slots\":8,\"state\":\"$4\",\"seq\":1${BORN:+,\"born\":$BORN}}}"
+	put_object "servers/i-$1" "{\"spec\":{\"service\":\"$2\",\"addr\":\"$(backend_address "$1")\",\"zone\":\"${ZONE:-z1}\",\"version\":\"$3\",\"slots\":8,\"state\":\"$4\",\"seq\":1${BORN:+,\"born\":$BORN}${COLD_LEFT:+,\"cold_left_ms\":$COLD_LEFT}}}"
 }
 
 # configure VERSION [EXTRA ROUTES]: writes a configuration. TIMEOUT_MS,
-# HEADER_MS, IDLE_MS and SECOND_KEY override its values.
+# HEADER_MS, IDLE_MS and SECOND_KEY override its values; COLD has further members of the
+# service.
 configure() {
 	put_object config/main "{\"spec\":{\"version\":$1,\"routes\":[
 	{\"name\":\"read\",\"host\":\"$HOST\",\"path_prefix\":\"/read/\",\"kind\":\"idempotent\",\"timeout_ms\":${TIMEOUT_MS:-1000},\"goal_ms\":100,\"priority\":2,\"service\":\"desk\",\"attempts\":2,\"public\":false},
@@ -50,7 +51,7 @@
 	{\"name\":\"open\",\"host\":\"$HOST\",\"path_prefix\":\"/open/\",\"kind\":\"idempotent\",\"timeout_ms\":1000,\"goal_ms\":100,\"priority\":2,\"service\":\"desk\",\"attempts\":2,\"public\":true},
 	{\"name\":\"talk\",\"host\":\"$HOST\",\"path_prefix\":\"/talk/\",\"kind\":\"streaming\",\"timeout_ms\":8000,\"goal_ms\":2000,\"gap_aim_ms\":1000,\"priority\":1,\"service\":\"desk\",\"attempts\":3,\"public\":false,\"resumable\":true,\"sizes\":[\"small\",\"large\"]}
 	${2:+,$2}],
-	\"services\":[{\"name\":\"desk\",\"max_conns\":100,\"engine\":{\"slots\":8,\"models\":[{\"name\":\"small\",\"cost\":0.02},{\"name\":\"large\",\"cost\":0.3}]}}],
+	\"services\":[{\"name\":\"desk\",\"max_conns\":100${COLD:+,$COLD},\"engine\":{\"slots\":8,\"models\":[{\"name\":\"small\",\"cost\":0.02},{\"name\":\"large\",\"cost\":0.3}]}}],
 	\"limits\":{\"max_header_bytes\":2048,\"max_body_bytes\":4096,\"header_timeout_ms\":${HEADER_MS:-600},\"idle_timeout_ms\":${IDLE_MS:-3000}},
 	\"tenants\":[{\"name\":\"one\",\"api_keys\":[\"$ROUTE_KEY\"],\"priority\":1},{\"name\":\"two\",\"api_keys\":[\"${SECOND_KEY:-key-of-tenant-two}\"]}]}}"
 }
