--- a/counters.h
+++ b/counters.h
@@ -37,6 +37,8 @@
 	  "prompt tokens sent to servers that share their machines")           \
 	X(PROMPT_TOKENS_HELD, "prompt_tokens_held_total",                      \
 	  "of these, tokens that the server was expected to hold")             \
+	X(COLD_REQUESTS, "cold_requests_total",                                \
+	  "requests sent to servers that count as cold")                       \
 	X(STORE_CALLS, "store_calls_total", "calls to the object API")         \
 	X(STORE_FAILURES, "store_failures_total",                              \
 	  "calls to the object API that failed")                               \
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -50,6 +50,9 @@
 	double session_s;
 	double prefix_memory_s;
 	char *features; /* names, separated by commas; NULL: none */
+	double cold_over; /* 0: no rule for cold servers */
+	double cold_slack;
+	int64_t evacuation_ms; /* 0: zones are not evacuated */
 	char *quality_targets; /* "0.9,...", 0 to 1, by priority from the first */
 };
 
