--- a/exchange/pick-shared.c
+++ b/exchange/pick-shared.c
@@ -211,7 +211,9 @@
 static double penalty(const struct server_record *s, uint64_t now)
 {
 	return (1 + FAILURE_RATE_FACTOR * s->failure_rate) *
-	       (s->cold_until > now ? COLD_FACTOR : 1);
+	       (cold_is_known(&s->cold, now) || cold_is_in_force(&s->cold, now)
+			? COLD_FACTOR
+			: 1);
 }
 
 /* Estimates the time to the first event of a model request. */
