--- a/t/helper/backend.c
+++ b/t/helper/backend.c
@@ -37,6 +37,7 @@
  *   stream-cut    closes the connection in the middle of event 3, unless
  *                 resumed
  *   stream-gap    leaves out event 2
+ *   stream-large  LARGE_STREAM_EVENTS events of LARGE_EVENT_BYTES each
  *   stream-slow   EVENT_INTERVAL_MS between events
  *   stream-pause  LONG_EVENT_INTERVAL_MS between events
  *   stream-unframed-pause  the same without a length, ended by closing
@@ -80,6 +81,8 @@
 #include "http/address.h"
 
 #define STREAM_EVENTS 5
+#define LARGE_STREAM_EVENTS 768
+#define LARGE_EVENT_BYTES 16384
 #define SLOW_RESPONSE_MS 300
 #define EVENT_INTERVAL_MS 200
 #define TRICKLE_INTERVAL_MS 20
@@ -474,6 +477,21 @@
 		uv_timer_start(&crash_timer, on_crash_timer, delay_ms, 0);
 }
 
+/* Streams large events after the one with the id `last_event`, to the end. */
+static void write_large_stream(struct conn *c, int last_event)
+{
+	g_autofree char *data = g_strnfill(LARGE_EVENT_BYTES, 'x');
+
+	for (int id = last_event + 1; id <= LARGE_STREAM_EVENTS; id++) {
+		g_autofree char *event =
+			g_strdup_printf("id: %d\ndata: %s\n\n", id, data);
+
+		write_text(c, "%zx\r\n%s\r\n", strlen(event), event);
+	}
+	write_text(c, "0\r\n\r\n");
+	end_response(c);
+}
+
 /* Streams the events after the one with the id `last_event`. */
 static void start_stream(struct conn *c, int last_event)
 {
@@ -481,6 +499,10 @@
 
 	write_stream_head(c);
 	c->next_event = last_event + 1;
+	if (!strcmp(c->mode, "stream-large")) {
+		write_large_stream(c, last_event);
+		return;
+	}
 	if (!strcmp(c->mode, "stream-slow")) {
 		uv_timer_start(&c->timer, on_timer, EVENT_INTERVAL_MS,
 			       EVENT_INTERVAL_MS);
