http: bound what is held for clients, over all listeners

Cause: each body was bounded, the sum was not; a client that read late lost its stream at 4 MiB; idle connections took all descriptors; buffers stayed allocated, and the copy of a request stayed until its connection was used again.

--- a/api/chat-task.c
+++ b/api/chat-task.c
@@ -15,7 +15,6 @@
 /* Limit to a first attempt's first byte, as a multiple of the usual time. */
 #define FIRST_BYTE_LIMIT_FACTOR 4.0
 #define FIRST_BYTE_LIMIT_MIN_MS 300.0
-#define MAX_UNSENT_BYTES (4 * 1024 * 1024) /* of a client that reads slowly */
 #define RETRY_AFTER_S 1
 
 static void start_attempt(struct chat_request *c);
@@ -52,8 +51,10 @@
 
 static void close_request(struct chat_request *c)
 {
-	if (c->api.http_request)
+	if (c->api.http_request) {
 		http_server_on_disconnect(c->api.http_request, NULL, NULL);
+		http_server_on_drain(c->api.http_request, NULL, NULL);
+	}
 	free_chat(c);
 }
 
@@ -434,10 +435,18 @@
 		return;
 	}
 	if (c->api.http_request &&
-	    http_server_unsent_bytes(c->api.http_request) > MAX_UNSENT_BYTES) {
-		c->answer.fault = ANSWER_FAULT_TOO_LARGE;
-		http_client_cancel(c->call);
-	}
+	    http_server_unsent_bytes(c->api.http_request) >
+		    HTTP_SERVER_BACKLOG_BYTES)
+		http_client_pause(c->call);
+}
+
+/* The client has taken enough of the answer to read on from the server. */
+static void on_client_drained(void *user)
+{
+	struct chat_request *c = user;
+
+	if (c->call)
+		http_client_resume(c->call);
 }
 
 static const struct http_client_callbacks engine_events = {on_head, on_data,
@@ -600,5 +609,6 @@
 	}
 	c->answer.streamed = c->streamed;
 	http_server_on_disconnect(req, on_client_disconnect, c);
+	http_server_on_drain(req, on_client_drained, c);
 	start_attempt(c);
 }
--- a/counters.h
+++ b/counters.h
@@ -33,6 +33,10 @@
 	  "requests not sent because their client had left")                   \
 	X(BRITTLE_REFUSALS, "brittle_refusals_total",                          \
 	  "requests that a brittle server had no room for")                    \
+	X(REFUSED_FOR_MEMORY, "refused_for_memory_total",                      \
+	  "incomplete requests refused for want of memory")                    \
+	X(CONNECTIONS_CLOSED, "connections_closed_total",                      \
+	  "connections of clients closed or refused beyond their limit")       \
 	X(STORE_CALLS, "store_calls_total", "calls to the object API")         \
 	X(STORE_FAILURES, "store_failures_total",                              \
 	  "calls to the object API that failed")                               \
--- a/daemon/chivegwd.c
+++ b/daemon/chivegwd.c
@@ -9,6 +9,7 @@
 #include "backend/placement-task.h"
 #include "backend/table-task.h"
 #include "config/watch-task.h"
+#include "daemon/client-memory-task.h"
 #include "daemon/gateway.h"
 #include "daemon/node.h"
 #include "daemon/version.h"
@@ -116,6 +117,7 @@
 static bool start_listeners(struct node *n, GError **err)
 {
 	struct node_settings *s = n->settings;
+	struct memory_account *memory;
 
 	n->client_listener = http_server_listen(
 		n->loop, s->caller_address, (size_t)s->max_body_bytes,
@@ -125,7 +127,14 @@
 	n->operator_listener = http_server_listen(
 		n->loop, s->operator_address, OPERATOR_MAX_BODY_BYTES,
 		(uint64_t)s->head_timeout_ms, operator_handle, n, err);
-	return n->operator_listener != NULL;
+	if (!n->operator_listener)
+		return false;
+	memory = client_memory_account(n->client_memory);
+	http_server_set_memory(n->client_listener, memory, HTTP_SERVER_CLIENTS,
+			       NULL);
+	http_server_set_memory(n->operator_listener, memory,
+			       HTTP_SERVER_OPERATORS, NULL);
+	return true;
 }
 
 static bool start_node(struct node *n, GError **err)
@@ -133,7 +142,11 @@
 	seed_rng(n);
 	limit_init(&n->limits);
 	n->trace = trace_new(n->settings->node);
+	n->client_memory =
+		client_memory_start(n->loop, n->settings, &n->counter_set);
 	n->http = http_client_new(n->loop);
+	http_client_set_memory(n->http,
+			       client_memory_account(n->client_memory));
 	n->store = store_new(n->http, n->settings->platform_address,
 			     (uint32_t)n->settings->store_timeout_ms,
 			     &n->counter_set);
--- a/daemon/gateway-metrics.c
+++ b/daemon/gateway-metrics.c
@@ -102,6 +102,12 @@
 		     g->routes ? (double)g->routes->revision : 0);
 	append_gauge(out, "open_requests", "requests without a final answer",
 		     (double)g->open_requests);
+	append_gauge(out, "client_memory_bytes", "held for clients",
+		     (double)g->memory->held);
+	append_gauge(out, "client_memory_limit_bytes",
+		     "most that is held for clients", (double)g->memory->limit);
+	append_gauge(out, "client_connections", "connections of clients",
+		     g->memory->connections);
 	append_gauge(out, "nodes_live", "live nodes as seen by this node",
 		     fleet_task_live_count(g->fleet));
 	append_builds(g, out);
--- a/daemon/gateway.c
+++ b/daemon/gateway.c
@@ -10,6 +10,7 @@
 #include <time.h>
 
 #include "crash/crash-check-task.h"
+#include "daemon/client-memory-task.h"
 #include "daemon/gateway-metrics.h"
 #include "daemon/version.h"
 #include "exchange/drain.h"
@@ -406,6 +407,7 @@
 
 	budget_set_params(&g->budget, &p);
 	cascade_parse(&g->cascade, g->settings->quality_targets);
+	client_memory_apply(g->client_memory, g->settings);
 }
 
 /* Reads the settings file again; invalid settings change nothing. */
@@ -541,6 +543,7 @@
 	crash_keys_update(&g->crash_keys, now, log_crash_key, NULL);
 	probe_task_tick(g->probes, now);
 	exchange_check_overdue(g, now);
+	exchange_resume_answers(g);
 	if (has_settled(g, now))
 		shift_task_tick(g->shifts, now);
 	peer_loads_apply(&g->peer_loads, now, &g->servers);
@@ -608,6 +611,10 @@
 		INITIAL_RECEIVE_MS, exchange_on_relayed_request, g, err);
 	if (!g->relay_listener)
 		return false;
+	http_server_set_memory(g->client_listener, g->memory,
+			       HTTP_SERVER_CLIENTS, exchange_on_evicted);
+	http_server_set_memory(g->relay_listener, g->memory, HTTP_SERVER_NODES,
+			       exchange_on_relayed_evicted);
 	g->readiness_listener =
 		http_server_listen(g->loop, s->ready_address, 0,
 				   INITIAL_RECEIVE_MS, on_readiness, g, err);
@@ -616,7 +623,13 @@
 	g->operator_listener =
 		http_server_listen(g->loop, s->operator_address, 0,
 				   INITIAL_RECEIVE_MS, on_operator, g, err);
-	return g->operator_listener != NULL;
+	if (!g->operator_listener)
+		return false;
+	http_server_set_memory(g->readiness_listener, g->memory,
+			       HTTP_SERVER_OPERATORS, NULL);
+	http_server_set_memory(g->operator_listener, g->memory,
+			       HTTP_SERVER_OPERATORS, NULL);
+	return true;
 }
 
 static void seed_rng(struct gateway_state *g)
@@ -663,7 +676,12 @@
 	log_event_catch_crashes();
 	seed_rng(g);
 	stat(path, &settings_stat);
+	g->client_memory =
+		client_memory_start(g->loop, settings, &g->counter_set);
+	g->memory = client_memory_account(g->client_memory);
+	g->paused_answers = g_ptr_array_new();
 	g->http = http_client_new(g->loop);
+	http_client_set_memory(g->http, g->memory);
 	server_table_init(&g->servers);
 	peer_loads_init(&g->peer_loads);
 	stream_lengths_init(&g->stream_lengths);
--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -26,6 +26,7 @@
 
 #define GATEWAY_ROUTE_KINDS 3 /* values of enum route_kind */
 
+struct client_memory;
 struct crash_checks;
 struct platform_feed;
 struct probe_task;
@@ -45,6 +46,10 @@
 	struct counter_set counter_set;
 	struct rng rng;
 	struct http_client *http;
+	struct client_memory *client_memory;
+	struct memory_account *memory; /* of client_memory */
+	/* Answers that are not read on for want of memory, but for the first. */
+	GPtrArray *paused_answers; /* struct exchange_request */
 	struct http_server *client_listener;
 	struct http_server *relay_listener; /* requests from other nodes */
 	struct http_server *readiness_listener; /* for the balancer's checks */
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -16,6 +16,7 @@
 #include "rng.h"
 #include "route/quality.h"
 
+struct client_memory;
 struct cfg_watch;
 struct backend_table;
 struct membership_task;
@@ -37,6 +38,7 @@
 	struct rng rng;
 	struct http_client *http;
 	struct store_client *store;
+	struct client_memory *client_memory;
 	struct http_server *client_listener;
 	struct http_server *operator_listener;
 	struct cfg_watch *config_task;
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -70,6 +70,10 @@
 	INTEGER(slow_first_token_ms, 10, 600000,
 		"a time to first token above it counts against a roll-out"),
 	REAL(rating_share, 0, 1, "share of plain answers that are rated"),
+	INTEGER(memory_mb, 0, 16 * 1024 * 1024,
+		"memory of the machine; 0: what the kernel tells"),
+	INTEGER(client_memory_mb, 0, 1024 * 1024,
+		"most memory held for clients; 0: computed from memory_mb"),
 	TEXT(ready_address, false, 9, 21,
 	     "address for the balancer's readiness checks, ip:port; makes the "
 	     "node serve configured routes"),
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -36,6 +36,8 @@
 	int64_t nodes_per_server;
 	int64_t slow_first_token_ms;
 	double rating_share;
+	int64_t memory_mb; /* 0: what the kernel tells */
+	int64_t client_memory_mb; /* 0: computed from memory_mb */
 
 	/* Only for nodes that serve configured routes. */
 	char *ready_address;
--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -25,7 +25,8 @@
 #define HELPER_CONNECT_MS                                                      \
 	250 /* that a helper spends on an unreachable server */
 #define MAX_BUFFERED_BODY_BYTES (1024 * 1024) /* of an answer, no stream */
-#define MAX_CLIENT_BACKLOG_BYTES (4 * 1024 * 1024) /* not sent to it yet */
+/* Answers of which less is buffered are read on also if memory is short. */
+#define MIN_PAUSED_BODY_BYTES (64 * 1024)
 /*
  * Longest idle time of a kept connection that is used. It is shorter for a
  * request that is not repeatable: if the server closes the connection as the
@@ -45,8 +46,18 @@
 
 static void start_attempt(struct exchange_request *x);
 
+/* Takes the request out of those that wait for memory. */
+static void stop_waiting_for_room(struct exchange_request *x)
+{
+	if (x->waits_for_room)
+		g_ptr_array_remove(x->g->paused_answers, x);
+	x->waits_for_room = false;
+}
+
 static void free_request(struct exchange_request *x)
 {
+	stop_waiting_for_room(x);
+	memory_discharge(x->g->memory, x->counted_bytes);
 	x->g->open_requests--;
 	x->g->relayed_requests -= x->relayed;
 	http_message_fields_clear(&x->head);
@@ -72,8 +83,10 @@
 
 static void finish_request(struct exchange_request *x)
 {
-	if (x->req)
+	if (x->req) {
 		http_server_on_disconnect(x->req, NULL, NULL);
+		http_server_on_drain(x->req, NULL, NULL);
+	}
 	free_request(x);
 }
 
@@ -347,7 +360,7 @@
 {
 	struct traffic_shift *shift = attempt_rollout(x);
 
-	if (shift && x->answer.result == RETRY_RESULT_BROKEN)
+	if (shift && x->answer.result == RETRY_RESULT_BROKEN && !x->was_paused)
 		server_on_broken_answer(x->server, gateway_now(x->g));
 	/* What the client names may be unknown to any version. */
 	if (shift && x->answer.result == RETRY_RESULT_UNSERVED && x->model)
@@ -461,7 +474,7 @@
 	if (outcome == SERVER_CALL_REFUSED &&
 	    brittle_is_in_force(&x->server->brittle))
 		record_brittle_refusal(x);
-	if (x->answer.result == RETRY_RESULT_COMPLETE &&
+	if (x->answer.result == RETRY_RESULT_COMPLETE && !x->was_paused &&
 	    x->attempt_events >= MIN_SERVER_SAMPLE_EVENTS)
 		server_on_event_interval(&x->g->servers, x->server, &x->work,
 					 attempt_event_ms(x));
@@ -636,6 +649,7 @@
 
 	x->closed = http_client_closed_by_server(x->call);
 	x->call = NULL;
+	stop_waiting_for_room(x);
 	if (!test_end(x, end))
 		conclude_attempt(x, end);
 }
@@ -892,6 +906,74 @@
 		http_server_write(x->req, data, len);
 }
 
+/* Counts what is buffered of answers in the node's account. */
+static void count_memory(struct exchange_request *x)
+{
+	size_t bytes = x->body->allocated_len + x->saved_body->allocated_len +
+		       x->events.buffer->allocated_len;
+
+	memory_discharge(x->g->memory, x->counted_bytes);
+	memory_charge(x->g->memory, bytes);
+	x->counted_bytes = bytes;
+	if (memory_is_exceeded(x->g->memory))
+		http_server_relieve(x->g->memory, gateway_now(x->g));
+}
+
+/* Stops reading from the server. Times of the attempt do not count any more. */
+static void pause_answer(struct exchange_request *x)
+{
+	if (!x->call)
+		return;
+	x->was_paused = true;
+	end_latency(x);
+	http_client_pause(x->call);
+}
+
+/*
+ * Stops reading an answer that the client does not get before it is complete while
+ * memory is short, unless it is the first of these: one at a time goes on.
+ */
+static void pause_for_memory(struct exchange_request *x)
+{
+	GPtrArray *paused = x->g->paused_answers;
+
+	if (!memory_is_exceeded(x->g->memory) ||
+	    x->body->len < MIN_PAUSED_BODY_BYTES)
+		return;
+	if (!x->waits_for_room)
+		g_ptr_array_add(paused, x);
+	x->waits_for_room = true;
+	if (paused->pdata[0] != x)
+		pause_answer(x);
+}
+
+/* Reads answers on that were paused for want of memory; see pause_for_memory(). */
+void exchange_resume_answers(struct gateway_state *g)
+{
+	bool short_of_memory = memory_is_exceeded(g->memory);
+
+	for (guint i = 0; i < (short_of_memory ? MIN(g->paused_answers->len, 1)
+					       : g->paused_answers->len);
+	     i++) {
+		struct exchange_request *x = g->paused_answers->pdata[i];
+
+		if (x->call)
+			http_client_resume(x->call);
+		x->waits_for_room = short_of_memory;
+	}
+	if (!short_of_memory)
+		g_ptr_array_set_size(g->paused_answers, 0);
+}
+
+/* The client has taken enough of the answer that the server is read from again. */
+static void on_client_drained(void *user)
+{
+	struct exchange_request *x = user;
+
+	if (x->call && !x->waits_for_room)
+		http_client_resume(x->call);
+}
+
 static void on_data(void *user, const char *data, size_t len)
 {
 	struct exchange_request *x = user;
@@ -906,12 +988,16 @@
 		x->stream_status = event_stream_push(&x->events, data, len,
 						     forward_event, x);
 	}
-	if (x->stream_status != EVENT_STREAM_OK || x->answer.too_large ||
-	    (x->req &&
-	     http_server_unsent_bytes(x->req) > MAX_CLIENT_BACKLOG_BYTES)) {
+	count_memory(x);
+	if (x->stream_status != EVENT_STREAM_OK || x->answer.too_large) {
 		x->answer.result = RETRY_RESULT_BROKEN;
 		if (x->call)
 			http_client_cancel(x->call);
+	} else if (!x->streamed) {
+		pause_for_memory(x);
+	} else if (x->req && http_server_unsent_bytes(x->req) >
+				     HTTP_SERVER_BACKLOG_BYTES) {
+		pause_answer(x);
 	}
 }
 
@@ -1095,6 +1181,7 @@
 	g_string_truncate(x->body, 0);
 	event_stream_restart(&x->events);
 	x->streamed = false;
+	x->was_paused = false;
 	x->framing = HTTP_CLIENT_FRAMING_NONE;
 	x->closed = HTTP_CLIENT_CLOSE_NONE;
 	x->stream_status = EVENT_STREAM_OK;
@@ -1247,5 +1334,6 @@
 	if (shift && !relayed)
 		shift_on_request(shift);
 	http_server_on_disconnect(req, on_client_disconnect, x);
+	http_server_on_drain(req, on_client_drained, x);
 	start_attempt(x);
 }
--- a/exchange/exchange.h
+++ b/exchange/exchange.h
@@ -53,6 +53,7 @@
 	GString *body; /* of an answer that is not a stream */
 	bool by_server; /* a server gave the answer, not a helper of its own */
 	bool streamed; /* the answer is an event stream */
+	bool was_paused; /* its times are not the server's */
 	enum http_client_framing framing; /* of the answer */
 	enum http_client_close closed; /* by the server */
 	enum event_stream_status stream_status;
@@ -68,6 +69,9 @@
 	uint64_t last_event_at;
 	const char *server_version; /* of the last attempt, interned */
 
+	size_t counted_bytes; /* of buffers, in the node's account */
+	bool waits_for_room; /* in the node's paused_answers */
+
 	/* What the client has received of the answer. */
 	struct event_stream events;
 	bool answer_started;
@@ -87,6 +91,7 @@
 			  struct http_server_request *req,
 			  const struct route_entry *route);
 void exchange_check_overdue(struct gateway_state *g, uint64_t now);
+void exchange_resume_answers(struct gateway_state *g);
 void exchange_refuse(struct gateway_state *g, struct http_server_request *req,
 		     int status, const char *verdict, const char *reason,
 		     uint32_t retry_after_ms);
--- a/exchange/intake-task.c
+++ b/exchange/intake-task.c
@@ -278,3 +278,26 @@
 	else
 		admit(g, req, true);
 }
+
+/*
+ * Adds the header fields of refusals to that of a client's request that is
+ * evicted before it was read completely.
+ */
+void exchange_on_evicted(void *gateway, struct http_server_request *req)
+{
+	struct gateway_state *g = gateway;
+	const char *id = http_server_header(req, g->header_names->request_id);
+
+	counter_add(&g->counter_set, COUNTER_REFUSED_NOT_RUN, 1);
+	if (id)
+		http_server_add_header(req, g->header_names->request_id, id);
+}
+
+/* The same for a request that another node passes on, which may ask elsewhere. */
+void exchange_on_relayed_evicted(void *gateway, struct http_server_request *req)
+{
+	const struct gateway_state *g = gateway;
+
+	exchange_on_evicted(gateway, req);
+	http_server_add_header(req, g->header_names->not_run, "1");
+}
--- a/http/client.c
+++ b/http/client.c
@@ -24,6 +24,9 @@
 
 struct conn;
 
+static void on_alloc(uv_handle_t *handle, size_t wanted, uv_buf_t *buf);
+static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf);
+
 /* The connections that share a pool name, usually those to one address. */
 struct pool {
 	char *name;
@@ -36,6 +39,7 @@
 struct http_client {
 	uv_loop_t *loop;
 	GHashTable *pools; /* name -> struct pool */
+	struct memory_account *memory; /* NULL: requests are not counted */
 	uint64_t connect_count; /* connection attempts */
 	uint64_t mismatch_count; /* responses that belonged to other requests */
 	char read_buffer[READ_BUFFER_BYTES];
@@ -43,6 +47,7 @@
 
 struct conn {
 	struct pool *pool;
+	struct http_client *http_client;
 	uv_tcp_t tcp;
 	uv_timer_t timer; /* closes the connection when idle */
 	unsigned int open_handles; /* of tcp and timer; freed at 0 */
@@ -52,6 +57,7 @@
 	struct http_message_fields fields;
 	struct http_client_call *call; /* NULL: idle */
 	char *request_bytes; /* of the call; kept until they are written */
+	size_t request_len;
 	uint64_t idle_since_ms; /* loop time */
 	uint64_t keep_alive_ms; /* how long it may stay idle */
 	bool connected;
@@ -83,6 +89,7 @@
 	bool head_only; /* HEAD: the response has no body */
 	bool reused; /* runs on a connection that was idle */
 	bool sent; /* the request may have reached the server */
+	bool paused; /* nothing is read; see http_client_pause() */
 	size_t bytes_before_head;
 	bool ended;
 	enum http_client_outcome outcome;
@@ -131,6 +138,13 @@
 	return http_client;
 }
 
+/* Counts the copies of requests that are being sent in the account. */
+void http_client_set_memory(struct http_client *http_client,
+			    struct memory_account *memory)
+{
+	http_client->memory = memory;
+}
+
 /* Returns the loop's monotonic time in ms, from an arbitrary start. */
 uint64_t http_client_now(const struct http_client *http_client)
 {
@@ -193,6 +207,15 @@
 	g_free(p);
 }
 
+/* Frees the copy of a request, which may be NULL. */
+static void release_request(struct http_client *http_client, char *bytes,
+			    size_t len)
+{
+	if (bytes && http_client->memory)
+		memory_discharge(http_client->memory, len);
+	g_free(bytes);
+}
+
 static void on_conn_closed(uv_handle_t *handle)
 {
 	struct conn *c = handle->data;
@@ -200,7 +223,7 @@
 	if (--c->open_handles)
 		return;
 	http_message_fields_clear(&c->fields);
-	g_free(c->request_bytes);
+	release_request(c->http_client, c->request_bytes, c->request_len);
 	g_free(c);
 }
 
@@ -266,7 +289,7 @@
 	struct http_client_call *call = timer->data;
 
 	call->callbacks.done(call->user, call->outcome);
-	g_free(call->request);
+	release_request(call->http_client, call->request, call->request_len);
 	g_free(call->correlation_header);
 	g_free(call->correlation_value);
 	g_free(call);
@@ -312,16 +335,25 @@
 	 * A fault that silenced a reused connection most likely affects the
 	 * pool's idle connections too.
 	 */
-	if (call->reused)
+	if (call->reused && !call->paused)
 		close_idle(c->pool);
 	fail_conn(c, HTTP_CLIENT_TIMED_OUT);
 }
 
-/* Starts the call's timer: `ms` from now, or earlier at the deadline. */
+/*
+ * Starts the call's timer: `ms` from now, or earlier at the deadline. A paused
+ * call has its deadline only.
+ */
 static void arm_timer(struct http_client_call *call, uint64_t ms)
 {
 	uint64_t now = uv_now(call->http_client->loop);
 
+	if (call->paused && !call->deadline_ms) {
+		uv_timer_stop(&call->timer);
+		return;
+	}
+	if (call->paused)
+		ms = UINT64_MAX;
 	if (call->deadline_ms) {
 		uint64_t left =
 			call->deadline_ms > now ? call->deadline_ms - now : 0;
@@ -338,6 +370,36 @@
 		arm_timer(call, call->progress_ms);
 }
 
+/*
+ * Stops reading the response: its receiver has no room for more. What has been
+ * read already may still be passed on. Silence does not end the call meanwhile,
+ * its total limit does.
+ */
+void http_client_pause(struct http_client_call *call)
+{
+	if (call->ended || call->paused || !call->conn)
+		return;
+	call->paused = true;
+	uv_read_stop((uv_stream_t *)&call->conn->tcp);
+	arm_timer(call, call->progress_ms);
+}
+
+/* Reads on after http_client_pause(). */
+void http_client_resume(struct http_client_call *call)
+{
+	if (call->ended || !call->paused)
+		return;
+	call->paused = false;
+	uv_read_start((uv_stream_t *)&call->conn->tcp, on_alloc, on_read);
+	arm_timer(call, call->progress_ms);
+}
+
+/* Returns whether the call is paused. */
+bool http_client_is_paused(const struct http_client_call *call)
+{
+	return call->paused;
+}
+
 static void on_idle_timeout(uv_timer_t *timer)
 {
 	close_conn(timer->data);
@@ -382,6 +444,7 @@
 		    !c->pool->detached;
 
 	if (keep) {
+		http_client_resume(call);
 		call->conn = NULL;
 		c->used_before = true;
 		return_to_pool(c);
@@ -646,6 +709,8 @@
 	struct conn *c = write->data;
 
 	c->writing = false;
+	release_request(c->http_client, c->request_bytes, c->request_len);
+	c->request_bytes = NULL;
 	if (status != 0 && !c->closed)
 		fail_conn(c, HTTP_CLIENT_INTERRUPTED);
 }
@@ -656,8 +721,9 @@
 	uv_buf_t buf;
 
 	reset_parser(c);
-	g_free(c->request_bytes);
+	release_request(c->http_client, c->request_bytes, c->request_len);
 	c->request_bytes = g_steal_pointer(&call->request);
+	c->request_len = call->request_len;
 	buf = uv_buf_init(c->request_bytes, (unsigned int)call->request_len);
 	c->write.data = c;
 	c->writing = true;
@@ -703,6 +769,7 @@
 	struct conn *c = g_new0(struct conn, 1);
 
 	c->pool = p;
+	c->http_client = p->http_client;
 	c->call = call;
 	call->conn = c;
 	http_message_fields_init(&c->fields);
@@ -763,6 +830,8 @@
 		g_string_append_len(s, req->body, (gssize)req->len);
 	call->request_len = s->len;
 	call->request = g_string_free(s, FALSE);
+	if (call->http_client->memory)
+		memory_charge(call->http_client->memory, call->request_len);
 }
 
 static void connect_call(struct http_client_call *call,
--- a/http/client.h
+++ b/http/client.h
@@ -7,6 +7,7 @@
 #include <stdint.h>
 #include <uv.h>
 
+#include "http/memory.h"
 #include "http/message.h"
 
 /* HTTP/1.1 client on libuv with a pool of idle connections per server. */
@@ -102,7 +103,12 @@
 http_client_start(struct http_client *http_client,
 		  const struct http_client_request *request,
 		  const struct http_client_callbacks *callbacks, void *user);
+void http_client_set_memory(struct http_client *http_client,
+			    struct memory_account *memory);
 void http_client_cancel(struct http_client_call *call);
+void http_client_pause(struct http_client_call *call);
+void http_client_resume(struct http_client_call *call);
+bool http_client_is_paused(const struct http_client_call *call);
 void http_client_extend_by_caller(struct http_client_call *call);
 void http_client_extend(struct http_client_call *call);
 void http_client_set_progress_limit(struct http_client_call *call,
--- a/http/server.c
+++ b/http/server.c
@@ -20,6 +20,33 @@
 #define CLIENT_CHECK_MS 200
 /* How long a connection reads on after its last response; see linger(). */
 #define LINGER_MS 300
+/*
+ * The same, and how much, after a request was refused for want of memory: a
+ * client may write its whole body before it reads, 4 MiB at 10 Mbit/s.
+ */
+#define LINGER_EVICTED_MS 4000
+#define LINGER_EVICTED_BYTES ((size_t)8 * 1024 * 1024)
+/*
+ * A connection that waits for its client to take MIN_TAKEN_BYTES of a response
+ * for so long is closed.
+ */
+#define TAKE_MS 8000
+#define MIN_TAKEN_BYTES 1024
+/* Buffers with more are freed when they are empty; smaller ones are reused. */
+#define KEPT_BUFFER_BYTES 1024
+/* A body's buffer grows by this or a quarter, whichever is more. */
+#define MIN_BODY_STEP_BYTES ((size_t)16 * 1024)
+/* Unsent bytes at which the owner may write on; see http_server_on_drain(). */
+#define DRAINED_BYTES (HTTP_SERVER_BACKLOG_BYTES / 2)
+/* About what an open connection takes without its buffers. */
+#define CONN_BYTES 1024
+/* Idle connections that are looked at for one without a request in its socket. */
+#define MAX_IDLE_CHECKED 16
+/* Connections beyond the limit that are told so; more are closed at once. */
+#define MAX_TURNED_AWAY 16
+/* Retry-After of refusals for want of room, spread over this range. */
+#define RETRY_AFTER_MS 500
+#define RETRY_AFTER_SPREAD_MS 1000
 /* A client that has connected is expected to send its first request so soon. */
 #define FIRST_REQUEST_MS 500
 
@@ -32,12 +59,25 @@
 	http_server_request_cb request_cb;
 	void *user;
 	GHashTable *conns; /* set of struct conn */
+	struct memory_account *memory; /* NULL: nothing is counted */
+	enum http_server_role role;
+	http_server_evict_cb evict_cb;
+	/* Connections that may be closed for others, longest idle first. */
+	GQueue idle;
+	uint32_t turned_away; /* open connections beyond the limit */
 	size_t open_requests;
 	bool accepting;
 	bool closing; /* each connection closes after its current response */
 	char read_buffer[READ_BUFFER_BYTES];
 };
 
+/* A body that grows by steps, so that little more is held than has arrived. */
+struct body {
+	char *data; /* with a null byte after it */
+	size_t len;
+	size_t size; /* allocated */
+};
+
 /*
  * One request. It is freed once its response has been written or its connection
  * has closed. Functions that write do nothing after the response has ended.
@@ -48,7 +88,9 @@
 	char *method;
 	char *path;
 	struct http_message_fields fields;
-	GString *body;
+	struct body body;
+	size_t declared_bytes; /* of the body; 0: unknown */
+	size_t fields_bytes; /* that its head takes */
 	GString *headers; /* of the response; complete lines */
 	bool is_head; /* the method is HEAD */
 	bool http10; /* HTTP/1.0 */
@@ -58,6 +100,8 @@
 	bool ended; /* the owner has ended or aborted the response */
 	http_server_disconnect_cb disconnect_cb;
 	void *disconnect_user;
+	http_server_drain_cb drain_cb;
+	void *drain_user;
 };
 
 enum phase {
@@ -90,18 +134,106 @@
 	bool close_when_sent;
 	bool reset_when_sent; /* the response was aborted */
 	bool write_failed;
+	struct memory_holder held;
+	GList idle_link; /* in the server's list */
+	bool is_idle; /* it is in that list */
+	bool counted; /* among the account's connections */
+	bool is_turned_away;
+	bool evicted;
+	size_t discarded_bytes; /* read in PHASE_LINGER */
+	uint64_t write_started_at; /* ms */
+	size_t taken_bytes; /* of the write under way, as last seen */
 };
 
 static void parse_input(struct conn *c);
 static void start_reading(struct conn *c);
 
+static void body_append(struct body *b, const char *data, size_t len,
+			size_t size)
+{
+	if (size > b->size) {
+		b->data = g_realloc(b->data, size);
+		b->size = size;
+	}
+	memcpy(b->data + b->len, data, len);
+	b->len += len;
+	b->data[b->len] = '\0';
+}
+
+/* Returns the size of the request's body buffer once `len` bytes more are in. */
+static size_t body_size_with(const struct http_server_request *r, size_t len)
+{
+	const struct body *b = &r->body;
+	size_t need = b->len + len + 1;
+	size_t size = b->size + MAX(b->size / 4, MIN_BODY_STEP_BYTES);
+
+	if (need <= b->size)
+		return b->size;
+	if (r->declared_bytes)
+		size = MIN(size, r->declared_bytes + 1);
+	return MAX(need, size);
+}
+
+/* Empties a buffer, and gives back its memory if it is much. */
+static void empty_buffer(GString **s)
+{
+	if ((*s)->allocated_len <= KEPT_BUFFER_BYTES) {
+		g_string_truncate(*s, 0);
+		return;
+	}
+	g_string_free(*s, TRUE);
+	*s = g_string_new(NULL);
+}
+
+/* Counts what the connection holds now. */
+static void count_memory(struct conn *c)
+{
+	size_t bytes = CONN_BYTES + c->input->allocated_len +
+		       c->output->allocated_len + c->in_flight->allocated_len;
+
+	if (!c->http_server->memory)
+		return;
+	if (c->req)
+		bytes += sizeof(*c->req) + c->req->fields_bytes +
+			 c->req->body.size + c->req->headers->allocated_len;
+	memory_resize(c->http_server->memory, &c->held, bytes);
+}
+
+/* Lets the account evict the connection's request while it is incomplete. */
+static void begin_receiving(struct conn *c)
+{
+	struct http_server *s = c->http_server;
+
+	if (s->memory && s->role != HTTP_SERVER_OPERATORS)
+		memory_begin_receiving(s->memory, &c->held, uv_now(s->loop));
+}
+
+static void end_receiving(struct conn *c)
+{
+	if (c->http_server->memory)
+		memory_end_receiving(c->http_server->memory, &c->held);
+}
+
+/* Sets whether the connection may be closed to make room for another one. */
+static void set_idle(struct conn *c, bool idle)
+{
+	if (c->is_idle == idle)
+		return;
+	c->is_idle = idle;
+	c->idle_link.data = c;
+	if (idle)
+		g_queue_push_tail_link(&c->http_server->idle, &c->idle_link);
+	else
+		g_queue_unlink(&c->http_server->idle, &c->idle_link);
+}
+
 static void free_request(struct http_server_request *r)
 {
 	r->http_server->open_requests--;
 	g_free(r->method);
 	g_free(r->path);
 	http_message_fields_clear(&r->fields);
-	g_string_free(r->body, TRUE);
+	g_free(r->body.data);
 	g_string_free(r->headers, TRUE);
 	g_free(r);
 }
@@ -112,6 +244,8 @@
 
 	if (--c->open_handles)
 		return;
+	if (c->http_server->memory)
+		memory_resize(c->http_server->memory, &c->held, 0);
 	g_string_free(c->input, TRUE);
 	g_string_free(c->output, TRUE);
 	g_string_free(c->in_flight, TRUE);
@@ -127,6 +261,12 @@
 		return;
 	c->phase = PHASE_CLOSED;
 	c->req = NULL;
+	end_receiving(c);
+	set_idle(c, false);
+	if (c->counted)
+		c->http_server->memory->connections--;
+	if (c->is_turned_away)
+		c->http_server->turned_away--;
 	g_hash_table_remove(c->http_server->conns, c);
 	uv_close((uv_handle_t *)&c->timer, on_handle_closed);
 	uv_close((uv_handle_t *)&c->tcp, on_handle_closed);
@@ -153,21 +293,25 @@
 }
 
 /*
- * Shuts down the sending side and reads on for LINGER_MS. Closing at once with
- * input unread would reset the connection, and the client could lose the end of
- * the response.
+ * Shuts down the sending side and reads on for LINGER_MS, longer if the client
+ * may not have read the response yet. Closing at once with input unread would
+ * reset the connection, and the client could lose the end of the response.
  */
 static void linger(struct conn *c)
 {
 	uv_shutdown_t *req = g_new0(uv_shutdown_t, 1);
 
 	c->phase = PHASE_LINGER;
-	g_string_truncate(c->input, 0);
+	empty_buffer(&c->input);
+	empty_buffer(&c->output);
+	empty_buffer(&c->in_flight);
+	count_memory(c);
+	set_idle(c, true);
 	socket_set_reset_on_close(&c->tcp, false);
 	if (uv_shutdown(req, (uv_stream_t *)&c->tcp, on_shutdown) != 0)
 		g_free(req);
 	start_reading(c);
-	arm_timer(c, LINGER_MS);
+	arm_timer(c, c->evicted ? LINGER_EVICTED_MS : LINGER_MS);
 }
 
 /* Frees the request whose response was written; starts on the next one. */
@@ -191,6 +335,12 @@
 	}
 	c->phase = PHASE_HEAD;
 	c->scanned_bytes = 0;
+	if (!c->input->len)
+		empty_buffer(&c->input);
+	count_memory(c);
+	set_idle(c, !c->input->len);
+	if (c->input->len)
+		begin_receiving(c);
 	arm_timer(c, c->http_server->limits.idle_ms);
 	start_reading(c);
 	parse_input(c);
@@ -209,12 +359,20 @@
 	c->writing = false;
 	if (c->phase == PHASE_CLOSED)
 		return;
-	if (status != 0)
+	if (status != 0) {
 		close_conn(c);
-	else if (!c->output->len && is_response_finished(c))
+		return;
+	}
+	empty_buffer(&c->in_flight);
+	count_memory(c);
+	if (!c->output->len && is_response_finished(c)) {
 		finish_response(c);
-	else
-		flush(c);
+		return;
+	}
+	flush(c);
+	if (c->req && c->req->drain_cb && !c->req->ended &&
+	    http_server_unsent_bytes(c->req) <= DRAINED_BYTES)
+		c->req->drain_cb(c->req->drain_user);
 }
 
 static void on_deferred_end(uv_timer_t *timer)
@@ -241,8 +399,12 @@
 	GString *swap;
 	uv_buf_t buf;
 
-	if (c->writing || c->write_failed || c->phase == PHASE_CLOSED)
+	if (c->phase == PHASE_CLOSED)
+		return;
+	if (c->writing || c->write_failed) {
+		count_memory(c);
 		return;
+	}
 	if (!c->output->len) {
 		if (is_response_finished(c))
 			defer_end(c);
@@ -255,11 +417,16 @@
 	buf = uv_buf_init(c->in_flight->str, (unsigned int)c->in_flight->len);
 	c->write.data = c;
 	c->writing = true;
+	c->write_started_at = uv_now(c->http_server->loop);
+	c->taken_bytes = 0;
 	if (uv_write(&c->write, (uv_stream_t *)&c->tcp, &buf, 1, on_written)) {
 		c->writing = false;
 		c->write_failed = true;
 		defer_end(c);
+	} else if (!uv_is_active((uv_handle_t *)&c->timer)) {
+		arm_timer(c, TAKE_MS);
 	}
+	count_memory(c);
 }
 
 static const char *status_reason(int status)
@@ -275,6 +442,8 @@
 	}
 }
 
+static struct http_server_request *new_request(struct conn *c);
+
 /* Responds to a request that cannot be read, then closes the connection. */
 static void reject(struct conn *c, int status, const char *reason)
 {
@@ -284,19 +453,90 @@
 
 	g_string_append_printf(
 		c->output,
-		"HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
+		"HTTP/1.1 %d %s\r\n%sContent-Type: application/json\r\n"
 		"Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
-		status, status_reason(status), strlen(body), body);
+		status, status_reason(status),
+		c->req ? c->req->headers->str : "", strlen(body), body);
 	if (c->req)
 		free_request(c->req);
 	c->req = NULL;
 	c->phase = PHASE_RESPONSE;
 	c->close_when_sent = true;
-	g_string_truncate(c->input, 0);
+	end_receiving(c);
+	set_idle(c, false);
+	empty_buffer(&c->input);
+	count_memory(c);
 	uv_timer_stop(&c->timer);
 	flush(c);
 }
 
+/*
+ * Refuses a request that has not been read completely for want of room. Retries
+ * are spread over time.
+ */
+static void refuse_for_room(struct conn *c, const char *reason)
+{
+	struct http_server *s = c->http_server;
+	uint32_t ms =
+		RETRY_AFTER_MS + g_random_int_range(0, RETRY_AFTER_SPREAD_MS);
+	g_autofree char *after = g_strdup_printf("Retry-After: %u.%02u\r\n",
+						 ms / 1000, ms % 1000 / 10);
+
+	c->evicted = true;
+	if (!c->req)
+		c->req = new_request(c);
+	else if (s->evict_cb)
+		s->evict_cb(s->user, c->req);
+	g_string_append(c->req->headers, after);
+	reject(c, 503, reason);
+}
+
+/*
+ * Makes room for so many bytes more of a request. `whole` if they are all of it,
+ * which are to come. Returns false if the request was refused.
+ */
+static bool make_room(struct conn *c, size_t bytes, bool whole)
+{
+	struct memory_account *m = c->http_server->memory;
+	uint64_t now = uv_now(c->http_server->loop);
+	struct memory_holder *victim;
+
+	if (!m || !bytes || c->http_server->role == HTTP_SERVER_OPERATORS)
+		return true;
+	for (;;) {
+		switch (whole ? memory_may_begin(m, &c->held, now, bytes,
+						 &victim)
+			      : memory_may_grow(m, &c->held, now, bytes,
+						&victim)) {
+		case MEMORY_FITS:
+			return true;
+		case MEMORY_EVICT:
+			m->evicted++;
+			refuse_for_room(victim->user, "memory");
+			break;
+		case MEMORY_REFUSE:
+			m->refused++;
+			refuse_for_room(c, "memory");
+			return false;
+		}
+	}
+}
+
+/*
+ * Evicts incomplete requests while more is held than the account allows, for
+ * answers to others. Does nothing if there are none.
+ */
+void http_server_relieve(struct memory_account *memory, uint64_t now)
+{
+	struct memory_holder *victim;
+
+	while (memory_is_exceeded(memory) &&
+	       (victim = memory_next_victim(memory, now))) {
+		memory->evicted++;
+		refuse_for_room(victim->user, "memory");
+	}
+}
+
 /* Stops to read until the response has ended; see MAX_PIPELINED_BYTES. */
 static void pause_reading(struct conn *c)
 {
@@ -305,20 +545,41 @@
 	arm_timer(c, CLIENT_CHECK_MS);
 }
 
+/*
+ * Returns whether the client has taken next to nothing of the response for as
+ * long as a write may take.
+ */
+static bool is_unread(struct conn *c)
+{
+	size_t left = uv_stream_get_write_queue_size((uv_stream_t *)&c->tcp);
+	uint64_t now = uv_now(c->http_server->loop);
+	size_t taken = c->in_flight->len - MIN(left, c->in_flight->len);
+	bool some = taken - c->taken_bytes >= MIN_TAKEN_BYTES;
+
+	if (!c->writing || now - c->write_started_at < TAKE_MS)
+		return false;
+	c->write_started_at = now;
+	c->taken_bytes = taken;
+	return !some;
+}
+
 static void on_timeout(uv_timer_t *timer)
 {
 	struct conn *c = timer->data;
 
-	if (c->phase == PHASE_RESPONSE && !c->reading) {
-		if (socket_peer_has_closed(&c->tcp))
+	if (c->phase == PHASE_RESPONSE) {
+		if (is_unread(c) ||
+		    (!c->reading && socket_peer_has_closed(&c->tcp)))
 			close_conn(c);
-		else
+		else if (!c->reading)
 			arm_timer(c, CLIENT_CHECK_MS);
+		else if (c->writing)
+			arm_timer(c, TAKE_MS);
 		return;
 	}
 	if (c->phase == PHASE_BODY || (c->phase == PHASE_HEAD && c->input->len))
 		reject(c, 408, "slow-request");
-	else if (c->phase != PHASE_RESPONSE)
+	else
 		close_conn(c);
 }
 
@@ -363,11 +624,11 @@
 {
 	struct conn *c = p->data;
 
-	if (c->req->body->len + len > c->http_server->limits.body_bytes) {
+	if (c->req->body.len + len > c->http_server->limits.body_bytes) {
 		c->body_too_large = true;
 		return -1;
 	}
-	g_string_append_len(c->req->body, at, (gssize)len);
+	body_append(&c->req->body, at, len, body_size_with(c->req, len));
 	return 0;
 }
 
@@ -409,7 +670,6 @@
 	r->http_server = c->http_server;
 	r->conn = c;
 	http_message_fields_init(&r->fields);
-	r->body = g_string_new(NULL);
 	r->headers = g_string_new(NULL);
 	c->http_server->open_requests++;
 	c->served = true;
@@ -440,18 +700,27 @@
 		 http_message_find(&r->fields, "transfer-encoding"));
 }
 
-static bool declares_oversized_body(const struct conn *c)
+/* Returns the body's length by the head; 0 if it states none. */
+static uint64_t declared_body_bytes(const struct conn *c)
 {
 	const char *length =
 		http_message_find(&c->req->fields, "content-length");
 
-	return length && g_ascii_strtoull(length, NULL, 10) >
-				 c->http_server->limits.body_bytes;
+	return length ? g_ascii_strtoull(length, NULL, 10) : 0;
+}
+
+static bool declares_oversized_body(const struct conn *c)
+{
+	return declared_body_bytes(c) > c->http_server->limits.body_bytes;
 }
 
 static void dispatch_request(struct conn *c)
 {
 	c->phase = PHASE_RESPONSE;
+	end_receiving(c);
+	if (!c->input->len)
+		empty_buffer(&c->input);
+	count_memory(c);
 	uv_timer_stop(&c->timer);
 	c->http_server->request_cb(c->http_server->user, c->req);
 }
@@ -484,6 +753,11 @@
 		return false;
 	}
 	g_string_erase(c->input, 0, (gssize)len);
+	c->req->fields_bytes = len;
+	c->req->declared_bytes = declared_body_bytes(c);
+	count_memory(c);
+	if (!make_room(c, c->req->declared_bytes, true))
+		return false;
 	expect = http_message_find(&c->req->fields, "expect");
 	if (!c->message_done && expect &&
 	    !g_ascii_strcasecmp(expect, "100-continue")) {
@@ -532,23 +806,43 @@
 	return false;
 }
 
-static void read_body(struct conn *c)
+/*
+ * Parses bytes of the body. Returns how many belong to it, or -1 if the request
+ * was rejected.
+ */
+static ssize_t parse_body(struct conn *c, const char *data, size_t len)
 {
-	size_t used = 0;
+	size_t used;
 
+	if (!make_room(c, body_size_with(c->req, len) - c->req->body.size,
+		       false))
+		return -1;
+	used = http_parser_execute(&c->parser, &body_parser_settings, data,
+				   len);
+	if (HTTP_PARSER_ERRNO(&c->parser) == HPE_PAUSED) {
+		http_parser_pause(&c->parser, 0);
+	} else if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK) {
+		if (c->body_too_large)
+			reject(c, 413, "body-too-large");
+		else
+			reject(c, 400, "malformed-body");
+		return -1;
+	}
+	count_memory(c);
+	return (ssize_t)used;
+}
+
+static void read_body(struct conn *c)
+{
 	if (!c->message_done && c->input->len) {
-		used = http_parser_execute(&c->parser, &body_parser_settings,
-					   c->input->str, c->input->len);
-		if (HTTP_PARSER_ERRNO(&c->parser) == HPE_PAUSED) {
-			http_parser_pause(&c->parser, 0);
-		} else if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK) {
-			if (c->body_too_large)
-				reject(c, 413, "body-too-large");
-			else
-				reject(c, 400, "malformed-body");
+		ssize_t used = parse_body(c, c->input->str, c->input->len);
+
+		if (used < 0)
 			return;
-		}
-		g_string_erase(c->input, 0, (gssize)used);
+		g_string_erase(c->input, 0, used);
+		if (!c->input->len)
+			empty_buffer(&c->input);
+		count_memory(c);
 	}
 	if (c->message_done)
 		dispatch_request(c);
@@ -562,6 +856,27 @@
 		read_body(c);
 }
 
+/* Takes received bytes of a request that is not complete. */
+static void receive(struct conn *c, const char *data, size_t len)
+{
+	ssize_t used = 0;
+
+	set_idle(c, false);
+	begin_receiving(c);
+	memory_on_received(&c->held, uv_now(c->http_server->loop), len);
+	/* Most bytes of a body need not go through the input buffer. */
+	if (c->phase == PHASE_BODY && !c->input->len) {
+		used = parse_body(c, data, len);
+		if (used < 0)
+			return;
+	} else if (!make_room(c, len, false)) {
+		return;
+	}
+	g_string_append_len(c->input, data + used, (gssize)len - used);
+	count_memory(c);
+	parse_input(c);
+}
+
 static void on_alloc(uv_handle_t *handle, size_t wanted, uv_buf_t *buf)
 {
 	struct conn *c = handle->data;
@@ -570,6 +885,14 @@
 	*buf = uv_buf_init(c->http_server->read_buffer, READ_BUFFER_BYTES);
 }
 
+/* Input behind a request has no room of its own if memory is short. */
+static size_t max_pipelined_bytes(const struct conn *c)
+{
+	const struct memory_account *m = c->http_server->memory;
+
+	return m && memory_is_short(m) ? 0 : MAX_PIPELINED_BYTES;
+}
+
 static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
 	struct conn *c = stream->data;
@@ -580,14 +903,21 @@
 		close_conn(c);
 		return;
 	}
-	if (c->phase == PHASE_LINGER || c->close_when_sent)
+	if (c->phase == PHASE_LINGER || c->close_when_sent) {
+		c->discarded_bytes += (size_t)n;
+		if (c->phase == PHASE_LINGER &&
+		    c->discarded_bytes > LINGER_EVICTED_BYTES)
+			close_conn(c);
 		return;
-	g_string_append_len(c->input, buf->base, n);
+	}
 	if (c->phase != PHASE_RESPONSE) {
-		parse_input(c);
-	} else if (c->input->len > MAX_PIPELINED_BYTES) {
-		pause_reading(c);
+		receive(c, buf->base, (size_t)n);
+		return;
 	}
+	g_string_append_len(c->input, buf->base, n);
+	count_memory(c);
+	if (c->input->len > max_pipelined_bytes(c))
+		pause_reading(c);
 }
 
 static void start_reading(struct conn *c)
@@ -611,13 +941,70 @@
 	uv_timer_init(http_server->loop, &c->timer);
 	c->tcp.data = c;
 	c->timer.data = c;
+	c->held.user = c;
 	g_hash_table_add(http_server->conns, c);
 	return c;
 }
 
+/*
+ * Returns the connection that may be closed for a new one, or NULL. A request
+ * that lies in a socket is not read yet.
+ */
+static struct conn *longest_idle(struct http_server *s)
+{
+	GList *l = s->idle.head;
+
+	for (int i = 0; l && i < MAX_IDLE_CHECKED; i++, l = l->next) {
+		struct conn *c = l->data;
+
+		if (c->phase == PHASE_LINGER || !socket_has_input(&c->tcp))
+			return c;
+	}
+	return NULL;
+}
+
+/*
+ * Counts a new connection. One too many replaces the connection that has been
+ * idle for longest; if there is none it is refused. Returns false if it was.
+ */
+static bool count_connection(struct conn *c)
+{
+	struct http_server *s = c->http_server;
+	struct memory_account *m = s->memory;
+	struct conn *idle;
+
+	if (!m || s->role != HTTP_SERVER_CLIENTS)
+		return true;
+	m->connections++;
+	c->counted = true;
+	if (m->connections <= m->max_connections)
+		return true;
+	idle = longest_idle(s);
+	if (idle) {
+		m->closed++;
+		close_conn(idle);
+		return true;
+	}
+	m->turned_away++;
+	if (s->turned_away >= MAX_TURNED_AWAY) {
+		close_conn(c);
+		return false;
+	}
+	s->turned_away++;
+	c->is_turned_away = true;
+	start_reading(c);
+	refuse_for_room(c, "connections");
+	return false;
+}
+
 static void begin_conn(struct conn *c)
 {
 	socket_set_options(&c->tcp, USER_TIMEOUT_MS);
+	c->held.client = socket_peer_address(&c->tcp);
+	count_memory(c);
+	if (!count_connection(c))
+		return;
+	set_idle(c, true);
 	arm_timer(c, c->http_server->limits.idle_ms);
 	start_reading(c);
 }
@@ -698,6 +1085,7 @@
 	http_server->limits.receive_ms = receive_ms;
 	http_server->limits.idle_ms = DEFAULT_IDLE_MS;
 	http_server->conns = g_hash_table_new(NULL, NULL);
+	g_queue_init(&http_server->idle);
 	if (!bind_listener(http_server, address, err)) {
 		g_hash_table_unref(http_server->conns);
 		g_free(http_server);
@@ -706,6 +1094,20 @@
 	return http_server;
 }
 
+/*
+ * Counts what clients hold in the account, and evicts incomplete requests that
+ * there is no room for; cb may be NULL or add header fields to the refusal. To
+ * be called before the loop runs.
+ */
+void http_server_set_memory(struct http_server *http_server,
+			    struct memory_account *memory,
+			    enum http_server_role role, http_server_evict_cb cb)
+{
+	http_server->memory = memory;
+	http_server->role = role;
+	http_server->evict_cb = cb;
+}
+
 /*
  * Replaces the limits. Limits of size apply at once, receive_ms to requests
  * that begin later; a changed idle_ms restarts the timers of idle connections.
@@ -830,8 +1232,8 @@
  */
 const char *http_server_body(const struct http_server_request *req, size_t *len)
 {
-	*len = req->body->len;
-	return req->body->str;
+	*len = req->body.len;
+	return req->body.data ? req->body.data : "";
 }
 
 /*
@@ -880,6 +1282,18 @@
 	req->disconnect_user = user;
 }
 
+/*
+ * Sets the callback that runs when the client has taken so much of the response
+ * that the owner may write on, after http_server_unsent_bytes() was above
+ * HTTP_SERVER_BACKLOG_BYTES.
+ */
+void http_server_on_drain(struct http_server_request *req,
+			  http_server_drain_cb cb, void *user)
+{
+	req->drain_cb = cb;
+	req->drain_user = user;
+}
+
 /* Adds a header field to the response; ignored once its head is written. */
 void http_server_add_header(struct http_server_request *req, const char *name,
 			    const char *value)
@@ -977,8 +1391,8 @@
 
 /*
  * Appends `len` bytes to the body of a response that has begun. They are
- * buffered without limit until the client takes them; see
- * http_server_unsent_bytes().
+ * buffered until the client takes them: the owner stops at
+ * HTTP_SERVER_BACKLOG_BYTES, see http_server_unsent_bytes().
  */
 void http_server_write(struct http_server_request *req, const void *data,
 		       size_t len)
--- a/http/socket.c
+++ b/http/socket.c
@@ -103,3 +103,17 @@
 		return -1;
 	return accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 }
+
+/*
+ * Returns the address of the peer, without its port, as a number; 0 if the
+ * socket cannot be queried.
+ */
+uint32_t socket_peer_address(const uv_tcp_t *tcp)
+{
+	struct sockaddr_in sa;
+	int len = sizeof(sa);
+
+	if (uv_tcp_getpeername(tcp, (struct sockaddr *)&sa, &len) != 0)
+		return 0;
+	return sa.sin_addr.s_addr;
+}
--- a/http/socket.h
+++ b/http/socket.h
@@ -11,5 +11,6 @@
 void socket_set_reset_on_close(uv_tcp_t *tcp, bool reset);
 int socket_accept_waiting(const uv_tcp_t *listener);
 void socket_set_options(uv_tcp_t *tcp, unsigned int user_timeout_ms);
+uint32_t socket_peer_address(const uv_tcp_t *tcp);
 
 #endif
--- a/log-event.h
+++ b/log-event.h
@@ -68,6 +68,8 @@
 	X(RELAY_ACCEPTED, 719, MESSAGE, "request from another node")           \
 	X(LOAD_LIMIT, 715, WARNING, "servers fail beyond a load")              \
 	X(SERVER_LIMIT, 712, MESSAGE, "server named a limit")                  \
+	X(MEMORY_SHORT, 740, WARNING, "requests refused for want of memory")   \
+	X(CONNECTIONS_SHORT, 741, WARNING, "too many connections of clients")  \
 	X(SERVERS_LISTED, 711, MESSAGE, "servers listed")
 
 enum log_event_id {
