http, tests: check eviction, backlog and pauses on real sockets

Guards against an evicted client that cannot read its refusal, a complete request that is evicted, an owner that is not told when to write on, and a paused call that silence ends. exchange_resume_answers() gets a plain loop.

--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -950,19 +950,19 @@
 /* Reads answers on that were paused for want of memory; see pause_for_memory(). */
 void exchange_resume_answers(struct gateway_state *g)
 {
-	bool short_of_memory = memory_is_exceeded(g->memory);
+	GPtrArray *paused = g->paused_answers;
+	bool is_short = memory_is_exceeded(g->memory);
+	guint n = is_short ? MIN(paused->len, 1) : paused->len;
 
-	for (guint i = 0; i < (short_of_memory ? MIN(g->paused_answers->len, 1)
-					       : g->paused_answers->len);
-	     i++) {
-		struct exchange_request *x = g->paused_answers->pdata[i];
+	for (guint i = 0; i < n; i++) {
+		struct exchange_request *x = paused->pdata[i];
 
+		x->waits_for_room = is_short;
 		if (x->call)
 			http_client_resume(x->call);
-		x->waits_for_room = short_of_memory;
 	}
-	if (!short_of_memory)
-		g_ptr_array_set_size(g->paused_answers, 0);
+	if (!is_short)
+		g_ptr_array_set_size(paused, 0);
 }
 
 /* The client has taken enough of the answer that the server is read from again. */
--- a/t/unit/http_server_test.cc
+++ b/t/unit/http_server_test.cc
@@ -2,6 +2,7 @@
 // the test decides when the loop runs, and so what lies in the socket by then.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <string>
 #include <sys/socket.h>
@@ -263,4 +264,129 @@
 	EXPECT_EQ(recv(c.fd, bytes, sizeof(bytes), MSG_DONTWAIT), 0);
 }
 
+struct TestAccount {
+	memory_account account;
+	explicit TestAccount(size_t limit, uint32_t connections = 100)
+	{
+		memory_init(&account, limit, connections);
+	}
+	~TestAccount()
+	{
+		EXPECT_EQ(account.held, 0u);
+		memory_clear(&account);
+	}
+	void limit(TestServer *s)
+	{
+		http_server_set_memory(s->server, &account, HTTP_SERVER_CLIENTS,
+				       nullptr);
+	}
+};
+
+const size_t kLargeBytes = 600000;
+
+// Sends the head of a large request and so much of its body.
+void send_part(TestServer *s, TestClient *c, size_t bytes)
+{
+	c->send_bytes("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+		      std::to_string(kLargeBytes) + "\r\n\r\n");
+	for (size_t n; bytes; bytes -= n) {
+		n = std::min<size_t>(bytes, 30000);
+		c->send_bytes(std::string(n, 'x'));
+		s->run_ms(3);
+	}
+}
+
+// Guards against bodies that stop before their end and keep the room of others,
+// and against a refusal that their clients cannot read.
+TEST(Memory, StalledBodyMakesRoomForAnother)
+{
+	TestAccount a(1 << 20);
+	TestServer s;
+	TestClient stalled, other;
+	std::string answer;
+	char bytes[4096];
+	ssize_t n;
+	a.limit(&s);
+	send_part(&s, &stalled, kLargeBytes - 100000);
+	s.run_ms(1100);
+	send_part(&s, &other, kLargeBytes);
+	s.wait_for_requests(1);
+	EXPECT_EQ(s.requests.size(), 1u);
+	EXPECT_EQ(a.account.evicted, 1u);
+	EXPECT_LT(a.account.held, kLargeBytes + 100000);
+	stalled.send_bytes(std::string(30000, 'x')); // it has not noticed yet
+	s.run_ms(20);
+	while ((n = recv(stalled.fd, bytes, sizeof(bytes), MSG_DONTWAIT)) > 0)
+		answer.append(bytes, (size_t)n);
+	EXPECT_EQ(n, 0);
+	EXPECT_EQ(answer.rfind("HTTP/1.1 503 ", 0), 0u) << answer;
+	EXPECT_NE(answer.find("Retry-After: "), std::string::npos);
+	EXPECT_NE(answer.find("\"not-run\""), std::string::npos);
+}
+
+// Guards against a full account that drops requests which servers may run.
+TEST(Memory, CompleteRequestIsNotEvicted)
+{
+	TestAccount a(1 << 20);
+	TestServer s;
+	TestClient complete, other;
+	a.limit(&s);
+	send_part(&s, &complete, kLargeBytes);
+	s.wait_for_requests(1);
+	s.run_ms(1100);
+	send_part(&s, &other, 1);
+	s.run_ms(20);
+	EXPECT_EQ(a.account.refused, 1u);
+	ASSERT_EQ(s.requests.size(), 1u);
+	EXPECT_NE(s.requests[0], nullptr);
+}
+
+// Guards against idle connections that shut out others.
+TEST(Memory, IdleConnectionMakesRoomForAnother)
+{
+	TestAccount a(1 << 20, 2);
+	TestServer s;
+	char byte;
+	a.limit(&s);
+	TestClient oldest;
+	s.run_ms(5);
+	TestClient second;
+	s.run_ms(5);
+	TestClient third;
+	s.run_ms(5);
+	EXPECT_EQ(recv(oldest.fd, &byte, 1, MSG_DONTWAIT), 0);
+	EXPECT_EQ(a.account.connections, 2u);
+	third.send_bytes(kRequest);
+	s.wait_for_requests(1);
+	EXPECT_EQ(s.requests.size(), 1u);
+}
+
+// Guards against an owner that is not told when it may write on.
+TEST(Backlog, OwnerIsToldWhenTheClientHasRead)
+{
+	TestServer s;
+	TestClient c;
+	bool drained = false;
+	std::vector<char> bytes(1 << 20);
+	const std::string part(4 << 20, 'x');
+	c.send_bytes(kRequest);
+	s.wait_for_requests(1);
+	http_server_on_drain(
+		s.requests[0], [](void *u) { *static_cast<bool *>(u) = true; },
+		&drained);
+	http_server_begin_response(s.requests[0], 200);
+	for (int i = 0; i < 4; i++) {
+		http_server_write(s.requests[0], part.data(), part.size());
+		s.run_ms(5);
+	}
+	EXPECT_GT(http_server_unsent_bytes(s.requests[0]),
+		  HTTP_SERVER_BACKLOG_BYTES);
+	drained = false;
+	for (int i = 0; i < 500 && !drained; i++) {
+		recv(c.fd, bytes.data(), bytes.size(), MSG_DONTWAIT);
+		s.run_ms(1);
+	}
+	EXPECT_TRUE(drained);
+}
+
 } // namespace
--- a/t/unit/http_test.cc
+++ b/t/unit/http_test.cc
@@ -71,6 +71,7 @@
 	int status = 0;
 	std::string body;
 	int outcome = -1; // http_client_outcome; -1: none yet
+	http_client_call *call = nullptr;
 	TestClient()
 	{
 		uv_loop_init(&loop);
@@ -103,7 +104,7 @@
 		r.total_ms = total_ms;
 		r.correlation_header = "id";
 		r.correlation_value = request_id;
-		http_client_start(http, &r, &callbacks, this);
+		call = http_client_start(http, &r, &callbacks, this);
 	}
 	// Runs the loop until the server has read the request.
 	void wait_for_request(bool new_connection = true)
@@ -402,4 +403,41 @@
 	EXPECT_EQ(read(c.server.conn_fd, &byte, 1), 0);
 }
 
+// Guards against a slow client whose server is taken for silent, and against an
+// answer that is lost or a connection that is not read on after a pause.
+TEST(Pause, CallIsNotEndedBySilenceAndGoesOn)
+{
+	TestClient c;
+	c.start("a");
+	c.wait_for_request();
+	c.server.send_bytes("HTTP/1.1 200 OK\r\nid: a\r\n"
+			    "Content-Length: 4\r\n\r\nab");
+	for (int i = 0; i < 20; i++) {
+		uv_run(&c.loop, UV_RUN_NOWAIT);
+		usleep(1000);
+	}
+	ASSERT_EQ(c.body, "ab");
+	http_client_pause(c.call);
+	c.server.send_bytes("cd");
+	for (int i = 0; i < 2200; i++) { // longer than progress_ms
+		uv_run(&c.loop, UV_RUN_NOWAIT);
+		usleep(1000);
+	}
+	EXPECT_EQ(c.outcome, -1);
+	EXPECT_EQ(c.body, "ab");
+	http_client_resume(c.call);
+	EXPECT_EQ(c.wait_for_outcome(), HTTP_CLIENT_COMPLETE);
+	EXPECT_EQ(c.body, "abcd");
+}
+
+// Guards against a pause that outlasts the request's deadline.
+TEST(Pause, EndsAtTheTotalLimit)
+{
+	TestClient c;
+	c.start("a", 300);
+	c.wait_for_request();
+	http_client_pause(c.call);
+	EXPECT_EQ(c.wait_for_outcome(), HTTP_CLIENT_TIMED_OUT);
+}
+
 } // namespace
