--- a/counters.h
+++ b/counters.h
@@ -39,6 +39,10 @@
 	  "of these, tokens that the server was expected to hold")             \
 	X(COLD_REQUESTS, "cold_requests_total",                                \
 	  "requests sent to servers that count as cold")                       \
+	X(REFUSED_FOR_MEMORY, "refused_for_memory_total",                      \
+	  "incomplete requests refused for want of memory")                    \
+	X(CONNECTIONS_CLOSED, "connections_closed_total",                      \
+	  "connections of clients closed or refused beyond their limit")       \
 	X(STORE_CALLS, "store_calls_total", "calls to the object API")         \
 	X(STORE_FAILURES, "store_failures_total",                              \
 	  "calls to the object API that failed")                               \
--- a/log-event.h
+++ b/log-event.h
@@ -73,6 +73,8 @@
 	X(EVACUATIONS, 730, WARNING, "evacuated zones changed")                \
 	X(SERVER_COLD, 731, MESSAGE, "server counts as cold")                  \
 	X(SERVER_WARM, 732, MESSAGE, "server no longer counts as cold")        \
+	X(MEMORY_SHORT, 740, WARNING, "requests refused for want of memory")   \
+	X(CONNECTIONS_SHORT, 741, WARNING, "too many connections of clients")  \
 	X(SERVERS_LISTED, 711, MESSAGE, "servers listed")
 
 enum log_event_id {
