retry: give a misdirected attempt back

A request that was turned away with 421 because another server has the address did not run, but used up one of the route's attempts: a node with an old view of the servers asked as many wrong addresses as the route has attempts and gave up with 503. Such an attempt no longer counts, up to 8 times, as many as a request remembers servers. It still takes from the retry budget, which bounds arrivals at servers; exempting it was ruled out, since the bound would not hold then.

--- a/exchange/retry.c
+++ b/exchange/retry.c
@@ -146,11 +146,15 @@
 		r->sent--;
 		r->unsent++;
 		break;
+	case RETRY_RESULT_MISDIRECTED:
+		/* It says nothing of the server meant: not one of the attempts. */
+		r->sent--;
+		r->misdirected++;
+		break;
 	case RETRY_RESULT_UNSERVED:
 		r->unserved = true;
 		break;
 	case RETRY_RESULT_REFUSED:
-	case RETRY_RESULT_MISDIRECTED:
 		break;
 	}
 }
@@ -170,6 +174,9 @@
 		return false;
 	if (a->result == RETRY_RESULT_UNSENT && r->unsent >= RETRY_MAX_UNSENT)
 		return false;
+	if (a->result == RETRY_RESULT_MISDIRECTED &&
+	    r->misdirected >= RETRY_MAX_MISDIRECTED)
+		return false;
 	return r->sent < r->max_sent;
 }
 
--- a/exchange/retry.h
+++ b/exchange/retry.h
@@ -13,6 +13,11 @@
  * run. Times are milliseconds of the node's own clock.
  */
 #define RETRY_MAX_UNSENT 6 /* attempts of which no byte was sent */
+/*
+ * Attempts that reached another server than the one meant: as many as a request
+ * keeps servers in mind that it has tried.
+ */
+#define RETRY_MAX_MISDIRECTED 8
 
 /* How an attempt ended. */
 enum retry_result {
@@ -33,6 +38,7 @@
 	uint32_t max_sent; /* limit of `sent` */
 	uint32_t sent; /* attempts that may have reached a server */
 	uint32_t unsent; /* attempts of which no byte was sent */
+	uint32_t misdirected; /* attempts that another server turned away */
 	bool unserved; /* some server does not serve such requests */
 	enum verdict_kind verdict; /* of all attempts together */
 };
--- a/t/unit/exchange_test.cc
+++ b/t/unit/exchange_test.cc
@@ -377,6 +377,28 @@
 	EXPECT_EQ(r.sent, 2u);
 }
 
+// Guards against a node whose view of the servers is old, and which gives up after
+// as many wrong addresses as the route has attempts.
+TEST(Retry, MisdirectedAttemptsAreGivenBackUpToTheirOwnLimit)
+{
+	Table t;
+	retry_state r;
+	retry_answer a;
+	retry_context s = {0, 1000, false, false, false, false};
+	retry_answer_head other = {421, false, false, false, false, false, false};
+	retry_init(&r, t.route("/a/x"));
+	for (int i = 1; i <= RETRY_MAX_MISDIRECTED; i++) {
+		retry_begin_attempt(&r, &a);
+		retry_on_head(&a, &other);
+		retry_on_end(&a, true, false, false);
+		EXPECT_EQ(retry_next_step(&r, &a, &s),
+			  i < RETRY_MAX_MISDIRECTED ? RETRY_STEP_RESEND
+						    : RETRY_STEP_REFUSE);
+	}
+	EXPECT_EQ(r.sent, 0u);
+	EXPECT_EQ(retry_make_refusal(&r, &s).status, 503);
+}
+
 TEST(Retry, NamesResultsAndSteps)
 {
 	EXPECT_STREQ(retry_result_name(RETRY_RESULT_WEAK), "weak");
