http: reject impossible statuses, await the request after an early end

A status such as 000 was taken for an interim response, so that the attempt waited until its time limit. And a 200 without a length looked complete if its server closed its side while the request was still being written, and reset the connection a moment later: the end of its side was read first, and the test for a reset came too early. A reset without that close was noticed before.

A status outside 100 to 599 now interrupts the call. After the server's end of a response without a length, the call waits until the request's bytes are acknowledged (looked at every 5 ms) or the connection is reset. Taking every such end for a broken one was weighed: it would lose whole answers of servers that answer early and then read the rest. All hops use this client: routes, helping nodes, the own API, the store.

--- a/http/client.c
+++ b/http/client.c
@@ -21,6 +21,14 @@
 #define REQUEST_ID_HEADER "x-request-id"
 /* Bytes of interim responses, and of those to other requests, before the head. */
 #define MAX_BYTES_BEFORE_HEAD (1024 * 1024)
+#define MIN_STATUS 100
+#define MIN_FINAL_STATUS 200
+#define MAX_STATUS 599
+/*
+ * Between two looks at how much of a request its server has yet to acknowledge, once
+ * it has closed its side.
+ */
+#define UPLOAD_CHECK_MS 5
 
 struct conn;
 
@@ -485,7 +493,9 @@
 	const char *connection;
 
 	http_message_fields_finish(&c->fields);
-	if (p->status_code < 200) {
+	if (p->status_code < MIN_STATUS || p->status_code > MAX_STATUS)
+		return -1;
+	if (p->status_code < MIN_FINAL_STATUS) {
 		/* An interim response has no body and is ignored. */
 		c->discarding = true;
 		return 0;
@@ -565,20 +575,49 @@
 	}
 }
 
+static void handle_eof(struct conn *c);
+
+/* Returns whether bytes of the request may not have reached the server yet. */
+static bool is_uploading(const struct conn *c)
+{
+	return c->writing || socket_unacknowledged(&c->tcp) > 0;
+}
+
+static void on_upload_check(uv_timer_t *timer)
+{
+	struct conn *c = timer->data;
+
+	if (socket_was_reset(&c->tcp)) {
+		c->call->close = HTTP_CLIENT_CLOSE_RESET;
+		fail_conn(c, HTTP_CLIENT_INTERRUPTED);
+	} else if (!is_uploading(c)) {
+		handle_eof(c);
+	}
+}
+
 /*
  * Handles an orderly close by the server, which completes a response that
- * states no length. Any other response under way is interrupted.
+ * states no length. Any other response under way is interrupted. A server that
+ * closes before it has read the request resets the connection a moment later,
+ * and its response may be cut short, so that the request's end is awaited.
  */
 static void handle_eof(struct conn *c)
 {
 	struct http_client_call *call = c->call;
+	bool ends_by_close;
 
 	if (!call) {
 		close_conn(c);
 		return;
 	}
-	if (c->head_seen && !c->discarding && !c->message_done &&
-	    framing_of(&c->parser) == HTTP_CLIENT_FRAMING_CLOSE &&
+	ends_by_close = c->head_seen && !c->discarding && !c->message_done &&
+			framing_of(&c->parser) == HTTP_CLIENT_FRAMING_CLOSE;
+	if (ends_by_close && is_uploading(c)) {
+		uv_timer_start(&c->timer, on_upload_check, UPLOAD_CHECK_MS,
+			       UPLOAD_CHECK_MS);
+		return;
+	}
+	if (ends_by_close &&
 	    http_parser_execute(&c->parser, &parser_settings, NULL, 0) == 0 &&
 	    c->message_done) {
 		close_conn(c);
--- a/http/socket.c
+++ b/http/socket.c
@@ -3,6 +3,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #define KEEPALIVE_IDLE_S 1
@@ -53,6 +54,21 @@
 	       (p.revents & (POLLRDHUP | POLLHUP | POLLERR));
 }
 
+/*
+ * Returns how many bytes passed to the socket the peer has not acknowledged, or 0 if
+ * the socket cannot be queried.
+ */
+int socket_unacknowledged(const uv_tcp_t *tcp)
+{
+	int n = 0;
+	uv_os_fd_t fd;
+
+	if (uv_fileno((const uv_handle_t *)tcp, &fd) != 0 ||
+	    ioctl(fd, TIOCOUTQ, &n) != 0)
+		return 0;
+	return n;
+}
+
 /*
  * Sets the options that all connections share: no delay of small writes
  * (TCP_NODELAY), keepalive probes that detect a silent peer, and a limit of
--- a/t/helper/backend.c
+++ b/t/helper/backend.c
@@ -16,6 +16,10 @@
  *   unframed      a body without a length, ended by closing the connection
  *   unframed-cut  the same, but the connection is reset
  *   unframed-late the same, the second half after LONG_EVENT_INTERVAL_MS
+ *   status-000    a response with the status 000
+ *   early-cut     a head without a length and part of a body as soon as the
+ *                 request's head is there, then the end of its side, and a reset
+ *                 EARLY_RESET_MS later, with the request's body unread
  *   cut           closes the connection before the announced length
  *   spoilt        not HTTP
  *   encoded       a content encoding that was not requested
@@ -83,6 +87,7 @@
 #define SLOW_RESPONSE_MS 300
 #define EVENT_INTERVAL_MS 200
 #define TRICKLE_INTERVAL_MS 20
+#define EARLY_RESET_MS 50
 #define LONG_EVENT_INTERVAL_MS 900
 #define DRIP_INTERVAL_MS 200
 #define FLOOD_BYTES 16384 /* of a write in the endless modes, at least */
@@ -559,6 +564,11 @@
 			   c->id);
 	else if (!strcmp(m, "unserved"))
 		write_unserved(c);
+	else if (!strcmp(m, "status-000"))
+		write_text(c,
+			   "HTTP/1.1 000 X\r\nX-Chivegw-Request-Id: %s\r\n"
+			   "Content-Length: 0\r\n\r\n",
+			   c->id);
 	else if (!strcmp(m, "lose"))
 		close_conn(c);
 	else if (!strcmp(m, "silent"))
@@ -797,6 +807,45 @@
 	respond(c, last ? atoi(last) : 0);
 }
 
+static void on_early_reset(uv_timer_t *timer)
+{
+	close_conn(timer->data);
+}
+
+static void on_early_end(uv_shutdown_t *end, int status)
+{
+	struct conn *c = end->handle->data;
+
+	(void)status;
+	if (!c->closed)
+		uv_timer_start(&c->timer, on_early_reset, EARLY_RESET_MS, 0);
+	g_free(end);
+}
+
+/* Responds in mode early-cut, if that is the mode of the path. */
+static void respond_early(struct conn *c, const char *head)
+{
+	const char *seal =
+		strstr(head, "/talk/")
+			? "Content-Type: text/event-stream\r\n" SEAL_FIELD
+			: SEAL_FIELD;
+	const char *end_of_line = strstr(head, " HTTP/1.1\r\n");
+
+	if (!end_of_line || end_of_line - head < (int)strlen("/early-cut") ||
+	    strncmp(end_of_line - strlen("/early-cut"), "/early-cut",
+		    strlen("/early-cut")) != 0)
+		return;
+	c->busy = true;
+	c->id = header_value(head, "X-Chivegw-Request-Id");
+	uv_read_stop((uv_stream_t *)&c->tcp);
+	write_text(c,
+		   "HTTP/1.1 200 OK\r\nX-Chivegw-Request-Id: %s\r\n%s\r\n"
+		   "id: 1\ndata: part1\n\n",
+		   c->id, seal);
+	uv_shutdown(g_new0(uv_shutdown_t, 1), (uv_stream_t *)&c->tcp,
+		    on_early_end);
+}
+
 /* Handles the complete requests in the input, until one has no response yet. */
 static void parse_requests(struct conn *c)
 {
@@ -813,8 +862,10 @@
 		head = g_strndup(c->input->str, head_len);
 		length = header_value(head, "Content-Length");
 		body_len = length ? (size_t)atoi(length) : 0;
-		if (c->input->len < head_len + body_len)
+		if (c->input->len < head_len + body_len) {
+			respond_early(c, head);
 			return;
+		}
 		body = g_strndup(c->input->str + head_len, body_len);
 		g_string_erase(c->input, 0, (gssize)(head_len + body_len));
 		handle_request(c, head, body);
--- a/t/lib-routes.sh
+++ b/t/lib-routes.sh
@@ -42,7 +42,7 @@
 }
 
 # configure VERSION [EXTRA ROUTES]: writes a configuration. TIMEOUT_MS,
-# HEADER_MS, IDLE_MS and SECOND_KEY override its values.
+# HEADER_MS, IDLE_MS, BODY_BYTES and SECOND_KEY override its values.
 configure() {
 	put_object config/main "{\"spec\":{\"version\":$1,\"routes\":[
 	{\"name\":\"read\",\"host\":\"$HOST\",\"path_prefix\":\"/read/\",\"kind\":\"idempotent\",\"timeout_ms\":${TIMEOUT_MS:-1000},\"goal_ms\":100,\"priority\":2,\"service\":\"desk\",\"attempts\":2,\"public\":false},
@@ -51,7 +51,7 @@
 	{\"name\":\"talk\",\"host\":\"$HOST\",\"path_prefix\":\"/talk/\",\"kind\":\"streaming\",\"timeout_ms\":8000,\"goal_ms\":2000,\"gap_aim_ms\":1000,\"priority\":1,\"service\":\"desk\",\"attempts\":3,\"public\":false,\"resumable\":true,\"sizes\":[\"small\",\"large\"]}
 	${2:+,$2}],
 	\"services\":[{\"name\":\"desk\",\"max_conns\":100,\"engine\":{\"slots\":8,\"models\":[{\"name\":\"small\",\"cost\":0.02},{\"name\":\"large\",\"cost\":0.3}]}}],
-	\"limits\":{\"max_header_bytes\":2048,\"max_body_bytes\":4096,\"header_timeout_ms\":${HEADER_MS:-600},\"idle_timeout_ms\":${IDLE_MS:-3000}},
+	\"limits\":{\"max_header_bytes\":2048,\"max_body_bytes\":${BODY_BYTES:-4096},\"header_timeout_ms\":${HEADER_MS:-600},\"idle_timeout_ms\":${IDLE_MS:-3000}},
 	\"tenants\":[{\"name\":\"one\",\"api_keys\":[\"$ROUTE_KEY\"],\"priority\":1},{\"name\":\"two\",\"api_keys\":[\"${SECOND_KEY:-key-of-tenant-two}\"]}]}}"
 }
 
--- a/t/unit/http_test.cc
+++ b/t/unit/http_test.cc
@@ -88,7 +88,8 @@
 	{
 		static_cast<TestClient *>(u)->outcome = result;
 	}
-	void start(const char *request_id, uint32_t total_ms = 0)
+	void start(const char *request_id, uint32_t total_ms = 0,
+		   const std::string &upload = "")
 	{
 		static const http_client_callbacks callbacks = {
 			on_head, on_data, on_done};
@@ -101,6 +102,8 @@
 		r.path = "/";
 		r.connect_ms = r.progress_ms = 2000;
 		r.total_ms = total_ms;
+		r.body = upload.data();
+		r.len = upload.size();
 		r.correlation_header = "id";
 		r.correlation_value = request_id;
 		http_client_start(http, &r, &callbacks, this);
@@ -182,6 +185,66 @@
 	EXPECT_EQ(c.wait_for_outcome(), HTTP_CLIENT_INTERRUPTED);
 }
 
+// Guards against an early response that looks complete though its server has
+// reset the connection while the request was still being written.
+TEST(Client, EarlyResponseWithoutLengthIsInterruptedByReset)
+{
+	const std::string upload(16 << 20, 'x');
+	for (int fin_first = 0; fin_first < 2; fin_first++)
+		for (int pause = 0; pause < 2; pause++) {
+			TestClient c;
+			c.start("a", 0, upload);
+			c.wait_for_request();
+			c.server.send_bytes(kUnframed);
+			if (fin_first)
+				shutdown(c.server.conn_fd, SHUT_WR);
+			for (int i = 0; pause && i < 20; i++) {
+				uv_run(&c.loop, UV_RUN_NOWAIT);
+				usleep(1000);
+			}
+			// Bytes of the request are unread: a reset.
+			c.server.close_connection();
+			EXPECT_EQ(c.wait_for_outcome(), HTTP_CLIENT_INTERRUPTED)
+				<< "fin " << fin_first << " pause " << pause;
+		}
+}
+
+// Guards against the loss of a response that ends in order before its server has
+// read the whole request.
+TEST(Client, EarlyResponseWithoutLengthIsCompleteOnceTheRequestIsRead)
+{
+	const std::string upload(16 << 20, 'x');
+	std::string bytes(1 << 20, '\0');
+	TestClient c;
+	c.start("a", 0, upload);
+	c.wait_for_request();
+	c.server.send_bytes(kUnframed);
+	shutdown(c.server.conn_fd, SHUT_WR);
+	for (int i = 0; i < 2000 && c.outcome < 0; i++) {
+		uv_run(&c.loop, UV_RUN_NOWAIT);
+		recv(c.server.conn_fd, &bytes[0], bytes.size(), MSG_DONTWAIT);
+		usleep(1000);
+	}
+	EXPECT_EQ(c.outcome, HTTP_CLIENT_COMPLETE);
+	EXPECT_EQ(c.body, "some bytes");
+}
+
+// Guards against waiting for the time limit after a status that none can be: it
+// has three digits, 100 to 599.
+TEST(Client, InvalidStatusInterruptsAtOnce)
+{
+	for (const char *status : {"000", "0", "20", "99", "600", "999"}) {
+		TestClient c;
+		c.start("a");
+		c.wait_for_request();
+		c.server.send_bytes(std::string("HTTP/1.1 ") + status +
+				    " X\r\nid: a\r\nContent-Length: 0\r\n\r\n");
+		EXPECT_EQ(c.wait_for_outcome(), HTTP_CLIENT_INTERRUPTED)
+			<< status;
+		EXPECT_EQ(c.status, 0) << status;
+	}
+}
+
 TEST(Client, ResponsesToOtherRequestsAreDiscarded)
 {
 	TestClient c;
