exchange: choose the first model by evidence and time

Every request began at the smallest model, also where its answer is nearly never good enough or a second run comes too late: 39 of 100 arrivals at the engines were second runs, and the largest requests lost most.

For services whose servers report the fourth load figure, exchange/model-choice.c now chooses by how often each model was good enough (route, prompt size, last shared part; half-life 60 s), the expected times, the retry budget and a price of work that rises with the delay. All others choose as before.

--- a/counters.h
+++ b/counters.h
@@ -25,6 +25,9 @@
 	  "answers to another request dropped")                                \
 	X(ESCALATIONS, "escalations_total",                                    \
 	  "cascades that asked a second version")                              \
+	X(LARGER_FIRST, "larger_first_total",                                  \
+	  "requests for which a larger model than the smallest was asked "     \
+	  "first")                                                             \
 	X(RATINGS, "ratings_total", "answers rated")                           \
 	X(ORDERS_SENT, "orders_sent_total", "non-idempotent requests sent")    \
 	X(ORDERS_REPLAYED, "orders_replayed_total",                            \
--- a/daemon/gateway.c
+++ b/daemon/gateway.c
@@ -667,6 +667,7 @@
 	server_table_init(&g->servers);
 	peer_loads_init(&g->peer_loads);
 	stream_lengths_init(&g->stream_lengths);
+	model_choice_init(&g->model_choice);
 	crash_keys_init(&g->crash_keys);
 	g->crash_checks =
 		crash_checks_new(g->loop, &g->crash_keys, &g->servers);
--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -15,6 +15,7 @@
 #include "exchange/stream-lengths.h"
 #include "exchange/peer-loads.h"
 #include "exchange/header-names.h"
+#include "exchange/model-choice.h"
 #include "exchange/routes.h"
 #include "exchange/servers.h"
 #include "histogram.h"
@@ -65,6 +66,7 @@
 	GPtrArray *pending_requests; /* struct pending_request */
 	struct retry_budget budget;
 	struct cascade_targets cascade;
+	struct model_choice model_choice;
 	struct platform_feed *feed;
 	const struct feed_handlers *feed_handlers; /* called by the feed */
 	struct fleet_task *fleet;
--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -744,17 +744,44 @@
 }
 
 /*
- * Returns whether to escalate an answer, also by the attempts and the budget
- * left. Takes a retry from the budget if so.
+ * Decides by the expected times of the models and by evidence. Stores the model
+ * to ask and what its answer is worth.
  */
-static enum cascade_choice decide_on_answer(struct exchange_request *x,
+static enum cascade_choice decide_by_time(struct exchange_request *x,
+					  size_t *larger, double *value)
+{
+	struct model_option options[MODEL_CHOICE_MAX_MODELS];
+	const struct model_situation s =
+		exchange_describe_models(x, gateway_now(x->g), options);
+
+	*larger = model_choice_next(options, x->route->n_models, x->model_index,
+				    &s, value);
+	if (*larger != x->model_index)
+		return CASCADE_ESCALATE;
+	*larger = x->route->n_models - 1;
+	return CASCADE_KEEP_TOO_LATE;
+}
+
+/* Decides by the chance that the largest model is in time. Stores both. */
+static enum cascade_choice decide_by_chance(struct exchange_request *x,
 					    const char *confidence,
-					    double chance)
+					    size_t *larger, double *chance)
+{
+	*larger = x->route->n_models - 1;
+	*chance = exchange_chance_in_time(x, gateway_now(x->g), *larger);
+	return cascade_decide(&x->g->cascade, x->route, x->model_index,
+			      confidence, *chance);
+}
+
+/*
+ * Returns the choice, also by the attempts and the budget left. Takes a retry from
+ * the budget if it is to escalate.
+ */
+static enum cascade_choice limit_choice(struct exchange_request *x,
+					enum cascade_choice choice)
 {
 	struct gateway_state *g = x->g;
 	const struct retry_context s = retry_context_of(x);
-	enum cascade_choice choice = cascade_decide(
-		&g->cascade, x->route, x->model_index, confidence, chance);
 
 	if (choice != CASCADE_ESCALATE)
 		return choice;
@@ -765,9 +792,19 @@
 		       : CASCADE_KEEP_NO_BUDGET;
 }
 
+/* Adds the answer to what is known of its model; the largest is always kept. */
+static void record_quality(struct exchange_request *x, bool good)
+{
+	const struct model_key key = exchange_model_key(x);
+
+	if (x->model_index + 1 < x->route->n_models)
+		model_choice_add(&x->g->model_choice, gateway_now(x->g), &key,
+				 x->model_index, good);
+}
+
 /*
  * Decides whether to drop a smaller model's answer for its low confidence, as
- * long as the client has received nothing. If so, chooses the largest model for
+ * long as the client has received nothing. If so, chooses a larger model for
  * the next attempt and returns true.
  */
 static bool escalate_to_larger_model(struct exchange_request *x,
@@ -776,28 +813,33 @@
 	const char *confidence =
 		http_message_find(fields, x->g->header_names->confidence);
 	enum cascade_choice choice;
-	size_t largest;
+	size_t larger;
 	double chance;
+	bool good, by_time = exchange_chooses_by_time(x);
 
-	if (!x->model || x->answer_started || !x->req ||
-	    cascade_is_good_enough(&x->g->cascade, x->route, x->model_index,
-				   confidence))
+	if (!x->model || x->answer_started || !x->req)
 		return false;
-	largest = x->route->n_models - 1;
-	chance = exchange_chance_in_time(x, gateway_now(x->g), largest);
-	choice = decide_on_answer(x, confidence, chance);
+	good = cascade_is_good_enough(&x->g->cascade, x->route, x->model_index,
+				      confidence);
+	if (by_time)
+		record_quality(x, good);
+	if (good)
+		return false;
+	choice = by_time ? decide_by_time(x, &larger, &chance)
+			 : decide_by_chance(x, confidence, &larger, &chance);
+	choice = limit_choice(x, choice);
 	log_event(LOG_EVENT_WEAK_ANSWER,
 		  "request=%s model=%s confidence=%s wanted=%.0f larger=%s "
 		  "chance=%.2f tokens=%u ms=%" G_GUINT64_FORMAT " choice=%s",
 		  x->id, x->model, confidence,
 		  100 * cascade_target(&x->g->cascade, x->route->priority),
-		  x->route->models[largest], chance, x->prompt.input_tokens,
+		  x->route->models[larger], chance, x->prompt.input_tokens,
 		  gateway_now(x->g) - x->started_at,
 		  cascade_choice_name(choice));
 	if (choice != CASCADE_ESCALATE)
 		return false;
-	x->model_index = largest;
-	x->model = x->route->models[largest];
+	x->model_index = larger;
+	x->model = x->route->models[larger];
 	x->answer.result = RETRY_RESULT_WEAK;
 	counter_add(&x->g->counter_set, COUNTER_ESCALATIONS, 1);
 	return true;
@@ -1131,6 +1173,30 @@
 	return ms;
 }
 
+/* Chooses the first model by the expected times of all and by evidence. */
+static void choose_first_by_time(struct exchange_request *x)
+{
+	struct model_option options[MODEL_CHOICE_MAX_MODELS];
+	enum model_reason reason;
+	const struct model_situation s =
+		exchange_describe_models(x, x->started_at, options);
+	size_t first =
+		model_choice_first(options, x->route->n_models, &s, &reason);
+
+	if (!first)
+		return;
+	x->model_index = first;
+	x->model = x->route->models[first];
+	counter_add(&x->g->counter_set, COUNTER_LARGER_FIRST, 1);
+	log_event(LOG_EVENT_MODEL_CHOSEN,
+		  "request=%s model=%s reason=%s good=%.2f answers=%.0f "
+		  "small_ms=%.0f ms=%.0f second_run=%.2f tokens=%u",
+		  x->id, x->model, model_reason_name(reason),
+		  options[0].belief.mean, options[0].belief.tried,
+		  options[0].first_event_ms, options[first].first_event_ms,
+		  s.escalation_chance, x->prompt.input_tokens);
+}
+
 /*
  * Chooses the model if the client leaves that to the gateway. A stream that the
  * client resumes goes to the largest model.
@@ -1148,6 +1214,8 @@
 			? x->route->n_models - 1
 			: cascade_first_model(&x->g->cascade, x->route);
 	x->model = x->route->models[x->model_index];
+	if (!x->model_index && exchange_chooses_by_time(x))
+		choose_first_by_time(x);
 }
 
 /* Returns how many attempts the node that passes a request on leaves to this. */
--- a/exchange/exchange.h
+++ b/exchange/exchange.h
@@ -4,6 +4,7 @@
 #include "daemon/gateway.h"
 #include "exchange/pick.h"
 #include "exchange/events.h"
+#include "exchange/model-choice.h"
 #include "exchange/prompt.h"
 #include "exchange/retry.h"
 #include "rollout/shift.h"
@@ -94,6 +95,11 @@
 					   uint64_t now);
 double exchange_chance_in_time(struct exchange_request *x, uint64_t now,
 			       size_t model);
+bool exchange_chooses_by_time(const struct exchange_request *x);
+struct model_key exchange_model_key(const struct exchange_request *x);
+struct model_situation
+exchange_describe_models(struct exchange_request *x, uint64_t now,
+			 struct model_option options[MODEL_CHOICE_MAX_MODELS]);
 bool exchange_choose_helper(struct exchange_request *x, uint64_t now);
 void exchange_end_relay(struct exchange_request *x,
 			enum http_client_outcome end);
--- a/exchange/pick.c
+++ b/exchange/pick.c
@@ -303,6 +303,19 @@
 	return out;
 }
 
+/* Returns whether a ready server of the service reports its machine's slowness. */
+bool service_shares_machines(const struct server_table *t, const char *service)
+{
+	for (guint i = 0; i < t->all->len; i++) {
+		const struct server_record *s = t->all->pdata[i];
+
+		if (s->shares_machine && s->state == SERVER_READY &&
+		    !strcmp(s->service, service))
+			return true;
+	}
+	return false;
+}
+
 /*
  * Returns the best server that is ready, fits the criteria and was not tried
  * yet, or NULL. Stores in *work what the request adds to its load. Ejected
--- a/exchange/pick.h
+++ b/exchange/pick.h
@@ -47,6 +47,7 @@
 			 const char *but_version);
 struct pick_estimate pick_estimate_delay(struct server_table *t, uint64_t now,
 					 const struct pick_criteria *c);
+bool service_shares_machines(const struct server_table *t, const char *service);
 struct server_record *pick_best_server(struct server_table *t, uint64_t now,
 				       const struct pick_criteria *c,
 				       struct rng *rng,
--- a/exchange/place-task.c
+++ b/exchange/place-task.c
@@ -1,6 +1,7 @@
 #include "exchange/exchange.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #include "fleet/fleet-task.h"
 #include "rollout/shift-task.h"
@@ -8,6 +9,11 @@
 /* Streams of up to this multiple of the mean length must finish in time. */
 #define LONG_STREAM_FACTOR 1.6
 #define MIN_MODEL_WEIGHT 0.01
+/*
+ * A retry budget with room for so many is there for a second run later; with less,
+ * other requests may have used it by then.
+ */
+#define CERTAIN_RETRIES 2.0
 /* 2^64 over the golden ratio: spreads the indexes of models over all bits. */
 #define MODEL_HASH_FACTOR 0x9e3779b97f4a7c15ULL
 
@@ -172,6 +178,80 @@
 					  o.first_event_ms));
 }
 
+/*
+ * Returns whether the models of the request are chosen by time and evidence: the
+ * gateway names them, and the service's servers share their machines.
+ */
+bool exchange_chooses_by_time(const struct exchange_request *x)
+{
+	return x->model && x->route->n_models > 1 &&
+	       x->route->n_models <= MODEL_CHOICE_MAX_MODELS &&
+	       service_shares_machines(&x->g->servers, x->service);
+}
+
+/* Returns what the evidence of the request's models is kept by. */
+struct model_key exchange_model_key(const struct exchange_request *x)
+{
+	const struct prompt_info *p = &x->prompt;
+	const struct model_key key = {
+		.route = XXH3_64bits(x->route->name, strlen(x->route->name)),
+		.input_tokens = p->input_tokens,
+		.part = p->n_parts ? p->parts[p->n_parts - 1] : 0,
+	};
+
+	return key;
+}
+
+/* Returns the chance that a second run will be allowed when it is wanted. */
+static double escalation_chance(struct exchange_request *x, uint64_t now)
+{
+	if (!x->retry.repeatable || x->retry.sent + 1 >= x->retry.max_sent)
+		return 0;
+	return CLAMP(budget_remaining(&x->g->budget, now, x->service) /
+			     CERTAIN_RETRIES,
+		     0, 1);
+}
+
+/*
+ * Stores what each model of the request's route is expected to take now, and
+ * returns the request's situation.
+ */
+struct model_situation
+exchange_describe_models(struct exchange_request *x, uint64_t now,
+			 struct model_option options[MODEL_CHOICE_MAX_MODELS])
+{
+	const struct model_key key = exchange_model_key(x);
+	double events =
+		LONG_STREAM_FACTOR *
+		stream_lengths_mean(&x->g->stream_lengths, x->route->name);
+	double deadline_ms = (double)x->deadline - (double)now;
+	double objective_ms =
+		x->route->objective_ms ? x->route->objective_ms : deadline_ms;
+	const struct model_situation s = {
+		.objective_ms = objective_ms,
+		.objective_left_ms =
+			x->route->objective_ms
+				? objective_ms - (double)(now - x->started_at)
+				: deadline_ms,
+		.deadline_left_ms = deadline_ms,
+		.escalation_chance = escalation_chance(x, now),
+		.draw = rng_unit(&x->g->rng),
+	};
+
+	for (size_t i = 0; i < x->route->n_models; i++) {
+		struct pick_criteria criteria = criteria_of(x, now, i);
+		struct pick_estimate o =
+			pick_estimate_delay(&x->g->servers, now, &criteria);
+
+		options[i].first_event_ms = o.first_event_ms;
+		options[i].rest_ms = o.event_ms * events;
+		options[i].work = criteria.weight;
+		options[i].belief =
+			model_choice_belief(&x->g->model_choice, now, &key, i);
+	}
+	return s;
+}
+
 /* Returns true if servers that were tried already may be tried again. */
 static bool may_reuse_servers(const struct exchange_request *x)
 {
--- a/log-event.h
+++ b/log-event.h
@@ -49,6 +49,7 @@
 	X(REQUEST_REFUSED, 702, MESSAGE, "request refused")                    \
 	X(RETRY_DENIED, 703, MESSAGE, "retry denied, budget exhausted")        \
 	X(WEAK_ANSWER, 704, MESSAGE, "answer with too low confidence")         \
+	X(MODEL_CHOSEN, 755, MESSAGE, "larger model asked first")              \
 	X(WATCHING, 221, MESSAGE, "watch of the source changed")               \
 	X(STATE_FROM_PEER, 220, MESSAGE, "state received from another node")   \
 	X(BEHIND_PEERS, 222, WARNING, "node is behind other nodes")            \
