--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -15,6 +15,7 @@
 #include "exchange/stream-lengths.h"
 #include "exchange/peer-loads.h"
 #include "exchange/header-names.h"
+#include "exchange/model-choice.h"
 #include "exchange/routes.h"
 #include "exchange/servers.h"
 #include "histogram.h"
@@ -75,6 +76,7 @@
 	 * measured times also if they do not share their machines.
 	 */
 	bool contended;
+	struct model_choice model_choice;
 	struct platform_feed *feed;
 	const struct feed_handlers *feed_handlers; /* called by the feed */
 	struct fleet_task *fleet;
