--- a/t/unit/pick_shared_test.cc
+++ b/t/unit/pick_shared_test.cc
@@ -15,6 +15,8 @@
 extern "C" {
 #include "exchange/peer-loads.h"
 #include "exchange/pick.h"
+#include "exchange/routes.h"
+#include "platform/translate.h"
 }
 
 namespace
@@ -702,6 +704,20 @@
 	prefix_cache_clear(&c);
 }
 
+TEST(Routes, TheMemoryOfEnginesIsReadFromThePlatform)
+{
+	json_object *spec = json_tokener_parse(
+		R"({"routes": [], "services": [{"name": "s",
+		    "engine": {"slots": 16, "kv_capacity": 511862}}]})");
+	json_object *doc = platform_translate_config(spec, NULL);
+	route_table *r = route_table_build(doc, 1, NULL);
+	ASSERT_TRUE(r);
+	EXPECT_EQ(r->services[0].kv_capacity, 511862u);
+	route_table_unref(r);
+	json_object_put(doc);
+	json_object_put(spec);
+}
+
 TEST(Prompt, ABeginningDependsOnAllPartsBefore)
 {
 	prompt_info a, b;
