pick-shared, model-choice: weigh running requests, evictions and confidence

Shared parts read again tripled (price 0.006 to 0.019), the busiest server had 1.7 times the mean, and weak answers of 0 to 10 % confidence were kept at load. Causes: a running request cost nothing until the slots were full, so nodes herded on few servers; a miss at the small model counted only its own short prefill, though it evicts what the largest model reads again; a prompt's own prefill counted as load; and a weak answer's worth did not depend on its confidence. Change: cost of running requests and of evictions at measured speed; load without the prompt's own time; a kept answer is worth the square of its confidence's share of the target.

--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -817,12 +817,16 @@
  * to ask and what its answer is worth.
  */
 static enum cascade_choice decide_by_time(struct exchange_request *x,
+					  const char *confidence,
 					  size_t *larger, double *value)
 {
 	struct model_option options[MODEL_CHOICE_MAX_MODELS];
-	const struct model_situation s =
+	struct model_situation s =
 		exchange_describe_models(x, gateway_now(x->g), options);
 
+	s.kept_worth = model_choice_kept_worth(
+		g_ascii_strtod(confidence, NULL),
+		100 * cascade_target(&x->g->cascade, x->route->priority));
 	*larger = model_choice_next(options, x->route->n_models, x->model_index,
 				    &s, value);
 	if (*larger != x->model_index)
@@ -894,7 +898,7 @@
 		record_quality(x, good);
 	if (good)
 		return false;
-	choice = by_time ? decide_by_time(x, &larger, &chance)
+	choice = by_time ? decide_by_time(x, confidence, &larger, &chance)
 			 : decide_by_chance(x, confidence, &larger, &chance);
 	choice = limit_choice(x, choice);
 	log_event(LOG_EVENT_WEAK_ANSWER,
--- a/exchange/model-choice.c
+++ b/exchange/model-choice.c
@@ -184,7 +184,8 @@
 			 const struct model_situation *s)
 {
 	double full_ms = FULL_SHARE * s->objective_ms;
-	double used = full_ms > 0 ? options[0].first_event_ms / full_ms : 0;
+	double wait_ms = options[0].first_event_ms - options[0].own_ms;
+	double used = full_ms > 0 ? MAX(wait_ms, 0) / full_ms : 0;
 
 	used = MIN(used, 1);
 	return CALM_WORK_WORTH +
@@ -339,6 +340,18 @@
 	return best;
 }
 
+/*
+ * Returns what a weak answer is worth by the model's own opinion of it, as a share of
+ * the quality target. Half of the answers with half of the target's confidence are
+ * not good by far: the worth falls faster than the confidence.
+ */
+double model_choice_kept_worth(double confidence, double target)
+{
+	double share = target > 0 ? CLAMP(confidence / target, 0, 1) : 1;
+
+	return share * share;
+}
+
 /*
  * Returns the model that is asked after a weak answer, or `weak` if that answer is
  * to be kept since no other is worth more. Stores the worth of what is chosen.
@@ -348,9 +361,10 @@
 			 double *value)
 {
 	size_t best = best_second(options, n, weak, 0, s, value);
+	double kept = MAX(s->kept_worth, WEAK_WORTH);
 
-	if (*value > WEAK_WORTH)
+	if (*value > kept)
 		return best;
-	*value = WEAK_WORTH;
+	*value = kept;
 	return weak;
 }
--- a/exchange/model-choice.h
+++ b/exchange/model-choice.h
@@ -39,6 +39,7 @@
 	double rest_ms; /* from the first event to the last */
 	double work; /* relative to the largest model, 0 to 1 */
 	struct model_belief belief;
+	double own_ms; /* of first_event_ms, at an idle server; 0: unknown */
 };
 
 struct model_situation {
@@ -47,6 +48,7 @@
 	double deadline_left_ms; /* for the last event */
 	double escalation_chance; /* that a second run will be allowed */
 	double draw; /* random, 0 to 1: whether to gain evidence */
+	double kept_worth; /* of a weak answer that is kept, 0 to 1; 0: unknown */
 };
 
 enum model_reason {
@@ -69,6 +71,7 @@
 size_t model_choice_next(const struct model_option *options, size_t n,
 			 size_t weak, const struct model_situation *s,
 			 double *value);
+double model_choice_kept_worth(double confidence, double target);
 const char *model_reason_name(enum model_reason reason);
 
 #endif
--- a/exchange/pick-shared.c
+++ b/exchange/pick-shared.c
@@ -15,6 +15,16 @@
  * which then wait for it. This share of that delay counts as the request's own.
  */
 #define OTHERS_DELAY_SHARE 0.25
+/*
+ * A shared beginning that is read at another server takes the memory of others, of
+ * which the largest model reads this share again.
+ */
+#define EVICTION_SHARE 1.5
+/*
+ * A running request of weight 1 counts as so many tokens to prefill: it delays the
+ * steps of the others and holds a slot, and what runs is known late.
+ */
+#define RUNNING_TOKENS 1000
 /*
  * Servers that are this close to the best one are equal, and one of them is drawn:
  * other nodes decide by the same late reports.
@@ -44,6 +54,7 @@
 	double load; /* requests there */
 	double slots;
 	double first_event_ms; /* or the time to the head of a plain answer */
+	double own_ms; /* of these, without waiting for others */
 	double cost_ms; /* with the delay of other requests */
 };
 
@@ -235,9 +246,15 @@
 		p->wait_ms += (e->load + 1 - e->slots) * run_ms / e->slots;
 	e->first_event_ms =
 		r->pace->base_ms + (p->wait_ms + p->prefill_ms) * speed;
-	e->cost_ms = e->first_event_ms + OTHERS_DELAY_SHARE * p->prefill_ms *
-						 MIN(e->load / e->slots, 1) *
-						 speed;
+	e->own_ms = r->pace->base_ms + p->prefill_ms / p->crowding;
+	e->cost_ms = e->first_event_ms +
+		     OTHERS_DELAY_SHARE * p->prefill_ms *
+			     MIN(e->load / e->slots, 1) * speed +
+		     (s->decode + s->peer_decode) * RUNNING_TOKENS *
+			     r->unit_ms * speed;
+	if (p->held_tokens < r->c->shared_tokens)
+		e->cost_ms += EVICTION_SHARE * r->unit_ms *
+			      (r->c->shared_tokens - p->held_tokens);
 }
 
 /*
@@ -367,13 +384,14 @@
 {
 	const struct shared_request r = request_of(t, now, c);
 	const struct server_record *s = least_cost(&r, false, NULL);
-	struct pick_estimate out = {0, 0};
+	struct pick_estimate out = {0, 0, 0};
 	struct shared_estimate e;
 
 	if (!s)
 		return out;
 	e = estimate(&r, s);
 	out.first_event_ms = e.first_event_ms;
+	out.own_ms = e.own_ms;
 	if (c->weight > 0)
 		out.event_ms = pace_event_ms(r.pace, c->model, c->weight) *
 			       e.sample.crowding * e.sample.slowness *
--- a/exchange/pick.c
+++ b/exchange/pick.c
@@ -317,7 +317,7 @@
 					 const struct pick_criteria *c)
 {
 	const struct server_record *affinity_target, *s;
-	struct pick_estimate out = {0, 0};
+	struct pick_estimate out = {0, 0, 0};
 
 	if (service_shares_machines(t, c->service))
 		return pick_shared_estimate(t, now, c);
--- a/exchange/pick.h
+++ b/exchange/pick.h
@@ -48,6 +48,7 @@
 struct pick_estimate {
 	double first_event_ms; /* until the first event */
 	double event_ms; /* between two events */
+	double own_ms; /* of first_event_ms, without waiting; 0: not known */
 };
 
 /* Requests at the available servers of a service, by all nodes. */
--- a/exchange/place-task.c
+++ b/exchange/place-task.c
@@ -267,6 +267,7 @@
 			pick_estimate_delay(&x->g->servers, now, &criteria);
 
 		options[i].first_event_ms = o.first_event_ms;
+		options[i].own_ms = o.own_ms;
 		options[i].rest_ms = o.event_ms * events;
 		options[i].work = criteria.weight;
 		options[i].belief =
