admission: divide the room of a service in shortage

When a service's servers cannot run all requests, each node sends what it gets, and all requests become late together.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 LDFLAGS += -fsanitize=address,undefined
 endif
 
-SLICES = fleet crash relay exchange config member limit route rollout session order usage backend \
+SLICES = admission fleet crash relay exchange config member limit route rollout session order usage backend \
 	platform store trace api daemon wire http answer lease
 LIB_SRC = $(filter-out daemon/chivegwd.c,$(wildcard *.c) \
 	$(foreach s,$(SLICES),$(wildcard $(s)/*.c)))
@@ -47,7 +47,7 @@
 
 # Decisions: no sockets, clocks, loops or global state in these.
 TASK_SRC = $(wildcard */*-task.c)
-PURE_SLICES = fleet crash relay exchange config member limit route rollout session order usage answer \
+PURE_SLICES = admission fleet crash relay exchange config member limit route rollout session order usage answer \
 	lease wire
 PURE_SRC = verdict.c rng.c json-check.c json-span.c backend/placement.c platform/envelope.c $(filter-out $(TASK_SRC), \
 	$(foreach s,$(PURE_SLICES),$(wildcard $(s)/*.c)))
--- a/exchange/pick.c
+++ b/exchange/pick.c
@@ -97,6 +97,40 @@
 	       !was_tried(c, s);
 }
 
+/* Returns the room at a service's servers that requests may be sent to. */
+struct pick_room pick_room(const struct server_table *t, uint64_t now,
+			   const char *service)
+{
+	struct pick_room r = {0, 0, 0};
+
+	for (guint i = 0; i < t->all->len; i++) {
+		const struct server_record *s = t->all->pdata[i];
+		uint32_t load, running;
+
+		if (!is_available(s, now) || s->ejected_until > now ||
+		    strcmp(s->service, service) != 0)
+			continue;
+		load = (uint32_t)server_load(s, now);
+		running = MIN(load, s->slots);
+		r.running += running;
+		r.waiting += load - running;
+		r.slots += s->slots;
+	}
+	return r;
+}
+
+/* Returns whether servers of the service say how slow their machines are. */
+bool service_shares_machines(const struct server_table *t, const char *service)
+{
+	for (guint i = 0; i < t->all->len; i++) {
+		const struct server_record *s = t->all->pdata[i];
+
+		if (s->shares_machine && !strcmp(s->service, service))
+			return true;
+	}
+	return false;
+}
+
 /* Returns the load per slot, higher if slow, failing, cold or elsewhere. */
 static double weighted_load(const struct server_record *s, uint64_t now,
 			    const struct pick_criteria *c)
--- a/exchange/pick.h
+++ b/exchange/pick.h
@@ -43,6 +43,16 @@
 	double event_ms; /* between two events */
 };
 
+/* What runs and waits at a service's ready servers, and their slots. */
+struct pick_room {
+	uint32_t running;
+	uint32_t waiting;
+	uint32_t slots;
+};
+
+struct pick_room pick_room(const struct server_table *t, uint64_t now,
+			   const char *service);
+bool service_shares_machines(const struct server_table *t, const char *service);
 double pick_mean_work_ms(const struct server_table *t, const char *service,
 			 const char *but_version);
 struct pick_estimate pick_estimate_delay(struct server_table *t, uint64_t now,
--- a/exchange/servers.h
+++ b/exchange/servers.h
@@ -84,6 +84,7 @@
 	uint64_t paused_until; /* it wants no request of this node before */
 	uint64_t misdirected_until; /* another server has its address */
 	uint32_t misdirected_streak; /* times without an answer of its own */
+	bool shares_machine; /* it reports how slow its machine is */
 	bool listed; /* present in the listing being applied */
 };
 
