exchange: let requests wait for room in shortage

New requests are offered to the queue of their service; retries, resumptions, escalations and requests of other nodes go ahead and are counted. What waits starts when an attempt ends, when a server reports its load, and at each tick; it is taken out when its client leaves, and refused when the node stops.

Weighed: looking up at each request whether servers share machines costs a scan of all servers for the services that do not, so it is done each 100 ms.

--- a/admission/admission.c
+++ b/admission/admission.c
@@ -7,7 +7,8 @@
 #define SERVER_QUEUE_SHARE 0.25
 /*
  * While more than this share of all places is free, a node starts without regard
- * to its part: the others do not fill that many within one refresh of its view.
+ * to its part: the others do not fill that many within one refresh of its view. The
+ * share is larger after refusals by servers.
  */
 #define AMPLE_SHARE 0.125
 #define QUEUE_MS 250.0 /* the queue holds what is started in this time */
@@ -208,9 +209,8 @@
 
 static bool room_is_ample(const struct admission *a)
 {
-	return a->caution >= 1 &&
-	       places_free(a) > AMPLE_SHARE * a->room.slots &&
-	       places_free(a) >= 1;
+	return places_free(a) >= 1 &&
+	       places_free(a) * a->caution > AMPLE_SHARE * a->room.slots;
 }
 
 /*
--- a/counters.h
+++ b/counters.h
@@ -31,6 +31,10 @@
 	  "recorded results replayed")                                         \
 	X(CLIENTS_LEFT, "clients_left_total",                                  \
 	  "requests not sent because their client had left")                   \
+	X(ADMISSION_WAITED, "admission_waited_total",                          \
+	  "requests that waited for room at their servers")                    \
+	X(ADMISSION_REFUSED, "admission_refused_total",                        \
+	  "requests refused for want of room at their servers")                \
 	X(BRITTLE_REFUSALS, "brittle_refusals_total",                          \
 	  "requests that a brittle server had no room for")                    \
 	X(STORE_CALLS, "store_calls_total", "calls to the object API")         \
--- a/daemon/gateway.c
+++ b/daemon/gateway.c
@@ -12,6 +12,7 @@
 #include "crash/crash-check-task.h"
 #include "daemon/gateway-metrics.h"
 #include "daemon/version.h"
+#include "exchange/admission-task.h"
 #include "exchange/drain.h"
 #include "exchange/exchange.h"
 #include "exchange/intake-task.h"
@@ -544,6 +545,7 @@
 	if (has_settled(g, now))
 		shift_task_tick(g->shifts, now);
 	peer_loads_apply(&g->peer_loads, now, &g->servers);
+	admission_task_tick(g, now);
 	if (tick_count % CLEANUP_TICKS == 0) {
 		free_removed_servers(g, now);
 		recent_sessions_expire(&g->recent, now);
--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -72,6 +72,7 @@
 	struct shift_controller *shifts;
 	/* Attempts whose latency is to be counted for a roll-out. */
 	GPtrArray *measured_attempts; /* struct exchange_request */
+	GHashTable *admission; /* service -> struct admission_service */
 	struct recent_sessions recent;
 	uint64_t boot; /* random, differs between runs of a node */
 	/* Revision up to which all changes of a topic are known. */
--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -6,6 +6,7 @@
 
 #include "crash/crash-check-task.h"
 #include "crash/fingerprint.h"
+#include "exchange/admission-task.h"
 #include "exchange/intake-task.h"
 #include "exchange/load-limit.h"
 #include "fleet/fleet-task.h"
@@ -44,6 +45,7 @@
 #define TIME_OFFSET_MS 0.5 /* added to times of which 0 would mean none */
 
 static void start_attempt(struct exchange_request *x);
+static bool drop_if_client_left(struct exchange_request *x);
 
 static void free_request(struct exchange_request *x)
 {
@@ -68,6 +70,10 @@
 	x->req = NULL;
 	if (x->call)
 		http_client_cancel(x->call);
+	if (x->admission.waiting) {
+		admission_task_leave(x);
+		drop_if_client_left(x);
+	}
 }
 
 static void finish_request(struct exchange_request *x)
@@ -458,6 +464,7 @@
 	record_crash_outcome(x, end);
 	if (x->answer.result == RETRY_RESULT_COMPLETE)
 		record_load_outcome(x);
+	admission_task_on_end(x, outcome == SERVER_CALL_REFUSED);
 	if (outcome == SERVER_CALL_REFUSED &&
 	    brittle_is_in_force(&x->server->brittle))
 		record_brittle_refusal(x);
@@ -587,6 +594,8 @@
 static void conclude_attempt(struct exchange_request *x,
 			     enum http_client_outcome end)
 {
+	struct admission_service *admission = x->admission_service;
+
 	retry_on_end(&x->answer, end == HTTP_CLIENT_COMPLETE,
 		     end == HTTP_CLIENT_NOT_SENT,
 		     !x->req && end == HTTP_CLIENT_CANCELLED);
@@ -601,9 +610,10 @@
 	if (x->answer.result == RETRY_RESULT_COMPLETE && x->streamed) {
 		retry_count_answer(&x->retry, &x->answer);
 		finish_stream(x);
-		return;
+	} else {
+		take_next_step(x, end);
 	}
-	take_next_step(x, end);
+	admission_task_on_room(admission);
 }
 
 static void on_end_tested(void *user, enum connect_test_result result)
@@ -643,11 +653,17 @@
 /* Stores the load that a server reports as "running,waiting,slots". */
 static void read_load_header(struct exchange_request *x, const char *value)
 {
-	unsigned int running, waiting, slots;
+	unsigned int running, waiting, slots, slowness;
+	int figures = value ? sscanf(value, "%u,%u,%u,%u", &running, &waiting,
+				     &slots, &slowness)
+			    : 0;
 
-	if (value && sscanf(value, "%u,%u,%u", &running, &waiting, &slots) == 3)
+	if (figures >= 3)
 		server_on_load_report(x->server, gateway_now(x->g), running,
 				      waiting, slots);
+	if (figures == 4)
+		x->server->shares_machine = true;
+	admission_task_on_room(x->admission_service);
 }
 
 /* Takes up the limit that a server names with an answer. */
@@ -1102,6 +1118,8 @@
 	x->attempt_events = 0;
 	server_on_request_start(x->server, now);
 	server_add_work(x->server, &x->work);
+	if (!x->helper)
+		admission_task_on_start(x);
 	x->load_at_start = server_load(x->server, now);
 	x->brittle_at_start = brittle_is_in_force(&x->server->brittle);
 	x->server_version = g_intern_string(x->server->version);
@@ -1115,6 +1133,23 @@
 	call_server(x, now);
 }
 
+/* Starts the first attempt of a request that has waited for a place. */
+void exchange_start_admitted(struct exchange_request *x)
+{
+	start_attempt(x);
+}
+
+/* Refuses a request that was not sent to any server, and frees it. */
+void exchange_refuse_unsent(struct exchange_request *x, const char *reason,
+			    uint32_t retry_after_ms)
+{
+	const struct retry_refusal r = {503, reason, retry_after_ms};
+
+	INVARIANT(!x->retry.sent && x->retry.verdict == VERDICT_NOT_RUN,
+		  "exchange: only what was not sent is refused as such");
+	send_refusal(x, &r);
+}
+
 /*
  * Returns how long a request may take, in ms: the lesser of what its client and
  * its route allow.
@@ -1247,5 +1282,6 @@
 	if (shift && !relayed)
 		shift_on_request(shift);
 	http_server_on_disconnect(req, on_client_disconnect, x);
-	start_attempt(x);
+	if (!admission_task_hold(x))
+		start_attempt(x);
 }
--- a/exchange/exchange.h
+++ b/exchange/exchange.h
@@ -1,6 +1,7 @@
 #ifndef EXCHANGE_EXCHANGE_H
 #define EXCHANGE_EXCHANGE_H
 
+#include "admission/admission.h"
 #include "daemon/gateway.h"
 #include "exchange/pick.h"
 #include "exchange/events.h"
@@ -37,6 +38,11 @@
 	uint64_t tried[PICK_MAX_TRIED]; /* hashes of server ids */
 	uint32_t n_tried;
 
+	/* Admission; without a service if its servers need none. */
+	struct admission_service *admission_service;
+	struct admission_request admission;
+	bool admission_counted; /* the attempt in progress */
+
 	/* Passing it on between nodes. */
 	bool relayed; /* another node has passed it on to this one */
 	struct relay_helper *helper; /* that the attempt goes to, or NULL */
@@ -86,6 +92,9 @@
 uint64_t exchange_time_ms(const struct gateway_state *g,
 			  struct http_server_request *req,
 			  const struct route_entry *route);
+void exchange_start_admitted(struct exchange_request *x);
+void exchange_refuse_unsent(struct exchange_request *x, const char *reason,
+			    uint32_t retry_after_ms);
 void exchange_check_overdue(struct gateway_state *g, uint64_t now);
 void exchange_refuse(struct gateway_state *g, struct http_server_request *req,
 		     int status, const char *verdict, const char *reason,
--- a/log-event.h
+++ b/log-event.h
@@ -68,6 +68,10 @@
 	X(RELAY_ACCEPTED, 719, MESSAGE, "request from another node")           \
 	X(LOAD_LIMIT, 715, WARNING, "servers fail beyond a load")              \
 	X(SERVER_LIMIT, 712, MESSAGE, "server named a limit")                  \
+	X(SHORTAGE, 750, MESSAGE, "shortage of a service began")               \
+	X(SHORTAGE_OVER, 751, MESSAGE, "shortage of a service is over")        \
+	X(ADMISSION_REFUSED, 752, MESSAGE, "request refused for want of room") \
+	X(ADMITTED, 753, MESSAGE, "request sent after a wait for room")        \
 	X(SERVERS_LISTED, 711, MESSAGE, "servers listed")
 
 enum log_event_id {
