--- a/t/unit/admission_test.cc
+++ b/t/unit/admission_test.cc
@@ -493,6 +493,29 @@
 	EXPECT_EQ(f.offer(1000, 3, 2), ADMISSION_REFUSE);
 }
 
+// Clients that are refused at the same moment must not return together.
+TEST(Admission, RetryAfterOfOneMomentIsSpread)
+{
+	Full f;
+	double mean[2] = {0, 0};
+
+	for (int i = 0; i < 8; i++)
+		f.offer(1000, i % 2, 1, 3000);
+	for (uint32_t p = 0; p < 2; p++) {
+		uint32_t least = UINT32_MAX, most = 0;
+		for (int i = 0; i < 200; i++) {
+			uint32_t ms = admission_retry_after(
+				&f.a, 1000, &f.requests[p], &f.random);
+			least = std::min(least, ms);
+			most = std::max(most, ms);
+			mean[p] += ms / 200.0;
+		}
+		EXPECT_GT(most, 2 * least);
+		EXPECT_LE(most, 1000u);
+	}
+	EXPECT_GT(mean[1], mean[0]);
+}
+
 // Servers that refuse for want of room show that a node takes too much of it.
 TEST(Admission, RefusalsOfServersLowerThePart)
 {
