--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -6,6 +6,7 @@
 
 #include "crash/crash-check-task.h"
 #include "crash/fingerprint.h"
+#include "exchange/admission-task.h"
 #include "exchange/intake-task.h"
 #include "exchange/load-limit.h"
 #include "fleet/fleet-task.h"
@@ -45,6 +46,7 @@
 #define TIME_OFFSET_MS 0.5 /* added to times of which 0 would mean none */
 
 static void start_attempt(struct exchange_request *x);
+static bool drop_if_client_left(struct exchange_request *x);
 
 /* Takes the request out of those that wait for memory. */
 static void stop_waiting_for_room(struct exchange_request *x)
@@ -79,6 +81,10 @@
 	x->req = NULL;
 	if (x->call)
 		http_client_cancel(x->call);
+	if (x->admission.waiting) {
+		admission_task_leave(x);
+		drop_if_client_left(x);
+	}
 }
 
 static void finish_request(struct exchange_request *x)
@@ -507,6 +513,7 @@
 	record_crash_outcome(x, end);
 	if (x->answer.result == RETRY_RESULT_COMPLETE)
 		record_load_outcome(x);
+	admission_task_on_end(x, outcome == SERVER_CALL_REFUSED);
 	if (outcome == SERVER_CALL_REFUSED &&
 	    brittle_is_in_force(&x->server->brittle))
 		record_brittle_refusal(x);
@@ -641,6 +648,8 @@
 static void conclude_attempt(struct exchange_request *x,
 			     enum http_client_outcome end)
 {
+	struct admission_service *admission = x->admission_service;
+
 	retry_on_end(&x->answer, end == HTTP_CLIENT_COMPLETE,
 		     end == HTTP_CLIENT_NOT_SENT,
 		     !x->req && end == HTTP_CLIENT_CANCELLED);
@@ -655,9 +664,10 @@
 	if (x->answer.result == RETRY_RESULT_COMPLETE && x->streamed) {
 		retry_count_answer(&x->retry, &x->answer);
 		finish_stream(x);
-		return;
+	} else {
+		take_next_step(x, end);
 	}
-	take_next_step(x, end);
+	admission_task_on_room(admission);
 }
 
 static void on_end_tested(void *user, enum connect_test_result result)
@@ -715,6 +725,7 @@
 		log_event(LOG_EVENT_SHARED_MACHINES,
 			  "service=%s server=%s percent=%u", x->service,
 			  x->server->id, percent);
+	admission_task_on_room(x->admission_service);
 }
 
 /* Takes up the limit that a server names with an answer. */
@@ -1300,6 +1311,8 @@
 		counter_add(&x->g->counter_set, COUNTER_COLD_REQUESTS, 1);
 	server_on_request_start(x->server, now);
 	server_add_work(x->server, &x->work);
+	if (!x->helper)
+		admission_task_on_start(x);
 	x->load_at_start = server_load(x->server, now);
 	x->brittle_at_start = brittle_is_in_force(&x->server->brittle);
 	x->server_version = g_intern_string(x->server->version);
@@ -1317,6 +1330,23 @@
 	call_server(x, now);
 }
 
+/* Starts the first attempt of a request that has waited for a place. */
+void exchange_start_admitted(struct exchange_request *x)
+{
+	start_attempt(x);
+}
+
+/* Refuses a request that was not sent to any server, and frees it. */
+void exchange_refuse_unsent(struct exchange_request *x, const char *reason,
+			    uint32_t retry_after_ms)
+{
+	const struct retry_refusal r = {503, reason, retry_after_ms};
+
+	INVARIANT(!x->retry.sent && x->retry.verdict == VERDICT_NOT_RUN,
+		  "exchange: only what was not sent is refused as such");
+	send_refusal(x, &r);
+}
+
 /*
  * Returns how long a request may take, in ms: the lesser of what its client and
  * its route allow.
@@ -1476,5 +1506,6 @@
 		shift_on_request(shift);
 	http_server_on_disconnect(req, on_client_disconnect, x);
 	http_server_on_drain(req, on_client_drained, x);
-	start_attempt(x);
+	if (!admission_task_hold(x))
+		start_attempt(x);
 }
--- a/log-event.h
+++ b/log-event.h
@@ -76,6 +76,10 @@
 	X(SERVER_WARM, 732, MESSAGE, "server no longer counts as cold")        \
 	X(MEMORY_SHORT, 740, WARNING, "requests refused for want of memory")   \
 	X(CONNECTIONS_SHORT, 741, WARNING, "too many connections of clients")  \
+	X(SHORTAGE, 750, MESSAGE, "shortage of a service began")               \
+	X(SHORTAGE_OVER, 751, MESSAGE, "shortage of a service is over")        \
+	X(ADMISSION_REFUSED, 752, MESSAGE, "request refused for want of room") \
+	X(ADMITTED, 753, MESSAGE, "request sent after a wait for room")        \
 	X(SERVERS_LISTED, 711, MESSAGE, "servers listed")
 
 enum log_event_id {
