--- a/t/unit/cold_test.cc
+++ b/t/unit/cold_test.cc
@@ -10,6 +10,8 @@
 #include "exchange/cold.h"
 #include "exchange/pick.h"
 #include "fleet/rank.h"
+#include "wire/codec.h"
+#include "wire/fleet-codec.h"
 }
 
 namespace
@@ -297,4 +299,30 @@
 	EXPECT_FALSE(evacuations_replace(e, later, 21));
 }
 
+/* Names of the longest zones that settings allow must fit into one message. */
+TEST(Evacuations, AFullMessageArrivesAsItWasSent)
+{
+	const char *key = "key-of-the-cluster-0";
+	fleet_wire_evacuations m = {}, got;
+	uint8_t bytes[PEER_WIRE_MAX_BYTES];
+
+	g_strlcpy(m.node, "node1", sizeof(m.node));
+	m.revision = 3000000000017;
+	for (m.n = 0; m.n < FLEET_WIRE_MAX_ZONES; m.n++)
+		g_snprintf(m.zone[m.n], sizeof(m.zone[0]), "z%062u", m.n);
+	const size_t len =
+		fleet_wire_encode_evacuations(&m, key, bytes, sizeof(bytes));
+	ASSERT_GT(len, 0u);
+	EXPECT_EQ(fleet_wire_kind_of(bytes, len), FLEET_WIRE_EVACUATIONS);
+	ASSERT_EQ(fleet_wire_decode_evacuations(bytes, len, key, &got),
+		  PEER_WIRE_OK);
+	EXPECT_EQ(got.revision, m.revision);
+	ASSERT_EQ(got.n, m.n);
+	EXPECT_STREQ(got.zone[11], m.zone[11]);
+	EXPECT_NE(fleet_wire_decode_evacuations(bytes, len,
+						"another-key-of-one", &got),
+		  PEER_WIRE_OK);
+	EXPECT_EQ(got.n, 0u);
+}
+
 } // namespace
