--- a/daemon/gateway.c
+++ b/daemon/gateway.c
@@ -29,6 +29,7 @@
 
 #define CONTENTION_FEATURE "pressure"
 #define PLACEMENT_FEATURE "measured-placement"
+#define MODEL_CHOICE_FEATURE "model-choice"
 #define TICK_MS 100 /* duration of a tick */
 #define SETTINGS_CHECK_TICKS 10
 #define CLEANUP_TICKS 10
@@ -485,6 +486,8 @@
 	budget_set_params(&g->budget, &p);
 	cascade_parse(&g->cascade, g->settings->quality_targets);
 	g->contended = settings_has_feature(g->settings, CONTENTION_FEATURE);
+	g->times_models =
+		settings_has_feature(g->settings, MODEL_CHOICE_FEATURE);
 	g->servers.measured_placement =
 		settings_has_feature(g->settings, PLACEMENT_FEATURE);
 	set_cold_rules(g);
--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -72,10 +72,11 @@
 	struct retry_budget budget;
 	struct cascade_targets cascade;
 	/*
-	 * Clients compete for the room of the servers: servers are chosen by
-	 * measured times also if they do not share their machines.
+	 * Clients compete for the room of the servers, which are treated as if
+	 * they shared their machines.
 	 */
 	bool contended;
+	bool times_models; /* models are chosen by expected times and evidence */
 	struct model_choice model_choice;
 	struct platform_feed *feed;
 	const struct feed_handlers *feed_handlers; /* called by the feed */
--- a/exchange/place-task.c
+++ b/exchange/place-task.c
@@ -214,7 +214,7 @@
  */
 bool exchange_chooses_by_time(const struct exchange_request *x)
 {
-	return x->model && x->route->n_models > 1 &&
+	return x->g->times_models && x->model && x->route->n_models > 1 &&
 	       x->route->n_models <= MODEL_CHOICE_MAX_MODELS &&
 	       service_shares_machines(&x->g->servers, x->service);
 }
--- a/t/t0100-mutants.sh
+++ b/t/t0100-mutants.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Mutation test: for each row of mutants.list, applies the substitution, which
+# Mutation test: for each row of MUTANTS, a list as mutants.list, applies the substitution, which
 # removes a mechanism, to a scratch copy. The row's test must fail there. The
 # argument names a single row.
 set -u
@@ -8,7 +8,8 @@
 scratch=$(mktemp -d)
 trap 'rm -rf "$scratch"' EXIT
 # Differs from the ports of the same scripts, which may run at the same time.
-MUTANT_BASE=17000
+MUTANT_BASE=${MUTANT_BASE:-17000}
+MUTANTS=${MUTANTS:-t/mutants.list}
 survived=0 killed=0
 
 trim() { sed 's/^[[:space:]]*//; s/[[:space:]]*$//'; }
@@ -67,6 +68,6 @@
 		echo "SURVIVED $name (promise $promise): $test does not fail"
 		survived=$((survived + 1))
 	fi
-done <t/mutants.list
+done <"$MUTANTS"
 echo "mutants: $killed killed, $survived survived"
 [ "$survived" -eq 0 ]
