--- a/counters.h
+++ b/counters.h
@@ -26,8 +26,7 @@
 	X(ESCALATIONS, "escalations_total",                                    \
 	  "cascades that asked a second version")                              \
 	X(LARGER_FIRST, "larger_first_total",                                  \
-	  "requests for which a larger model than the smallest was asked "     \
-	  "first")                                                             \
+	  "requests that asked a larger model than the smallest first")        \
 	X(RATINGS, "ratings_total", "answers rated")                           \
 	X(ORDERS_SENT, "orders_sent_total", "non-idempotent requests sent")    \
 	X(ORDERS_REPLAYED, "orders_replayed_total",                            \
