fleet: tell the nodes of the own zone in small fleets too

Cause: up to 120 nodes the plan has no receivers 'in the own zone', and a node that was known to be there got nothing.

--- a/fleet/fleet-task.c
+++ b/fleet/fleet-task.c
@@ -374,37 +374,24 @@
 	}
 }
 
-/*
- * Sends a message to some live members of each kind, from a random one on: those
- * known to be in this node's zone, and others. What one kind lacks goes to the
- * other.
- */
-static void send_by_zone(struct fleet_task *t, const struct load_plan *plan,
+/* Sends a message to live members as planned, from a random one on. */
+static void send_by_plan(struct fleet_task *t, struct load_plan left,
 			 const uint8_t *bytes, size_t len)
 {
 	const GArray *members = t->members.members;
-	uint32_t own = plan->own_zone;
-	uint32_t others = plan->others;
-	uint32_t peers = g_hash_table_size(t->zone_peers);
 	guint start = members->len ? rng_below(&t->g->rng, members->len) : 0;
 
-	if (peers < own) {
-		others += own - peers;
-		own = peers;
-	}
-	for (guint i = 0; i < members->len && own + others; i++) {
+	load_plan_limit_own_zone(&left, g_hash_table_size(t->zone_peers));
+	for (guint i = 0; i < members->len && left.own_zone + left.others;
+	     i++) {
 		const struct member_entry *m =
 			&g_array_index(members, struct member_entry,
 				       (start + i) % members->len);
-		uint32_t *left =
-			g_hash_table_contains(t->zone_peers, m->info.name)
-				? &own
-				: &others;
 
-		if (m->info.state != MEMBER_ALIVE || !*left)
-			continue;
-		fleet_task_send(t, m->info.addr, bytes, len);
-		--*left;
+		if (m->info.state == MEMBER_ALIVE &&
+		    load_plan_take(&left, g_hash_table_contains(t->zone_peers,
+								m->info.name)))
+			fleet_task_send(t, m->info.addr, bytes, len);
 	}
 }
 
@@ -450,7 +437,7 @@
 	memcpy(t->sent_changed, l.changed, sizeof(l.changed));
 	len = fleet_wire_encode_loads(&l, t->g->settings->cluster_key, bytes,
 				      sizeof(bytes));
-	send_by_zone(t, &plan, bytes, len);
+	send_by_plan(t, plan, bytes, len);
 }
 
 /* Sends what servers have said to this node of their limits. */
--- a/t/unit/fleet_test.cc
+++ b/t/unit/fleet_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 extern "C" {
 #include "fleet/load-plan.h"
 #include "fleet/peer-news.h"
@@ -117,4 +119,23 @@
 	}
 }
 
+/* Guards against small fleets whose nodes tell their own zone nothing. */
+TEST(LoadPlan, NodesOfTheOwnZoneAreToldInFleetsOfAnySize)
+{
+	for (uint32_t live : {5u, 72u, 120u, 121u, 400u}) {
+		load_plan left = load_plan_for(live);
+		uint32_t same = 0, others = 0;
+
+		load_plan_limit_own_zone(&left, live - 1);
+		for (uint32_t i = 0; i + 1 < live; i++)
+			same += load_plan_take(&left, true);
+		EXPECT_GE(same, std::min(live - 1, 12u)) << live;
+		left = load_plan_for(live);
+		load_plan_limit_own_zone(&left, 3);
+		for (uint32_t i = 0; i + 1 < live; i++)
+			others += load_plan_take(&left, false);
+		EXPECT_GE(others, std::min(live - 1, 13u)) << live;
+	}
+}
+
 } // namespace
