--- a/admission/admission.c
+++ b/admission/admission.c
@@ -104,7 +104,7 @@
 
 static struct admission_flow *flow_of(const struct admission_request *r)
 {
-	return &r->party->flows[priority_of(r)];
+	return &r->account->flows[priority_of(r)];
 }
 
 static void insert(GHashTable *table, uint64_t key, void *value)
@@ -270,8 +270,8 @@
 			const struct admission_request *y)
 {
 	const struct admission_flow *fx = flow_of(x), *fy = flow_of(y);
-	bool floor_x = is_below_floor(a, x->party);
-	bool floor_y = is_below_floor(a, y->party);
+	bool floor_x = is_below_floor(a, x->account);
+	bool floor_y = is_below_floor(a, y->account);
 
 	if (floor_x != floor_y)
 		return floor_x;
@@ -324,8 +324,8 @@
 			      const struct admission_request *y)
 {
 	const struct admission_flow *fx = flow_of(x), *fy = flow_of(y);
-	bool floor_x = is_below_floor(a, x->party);
-	bool floor_y = is_below_floor(a, y->party);
+	bool floor_x = is_below_floor(a, x->account);
+	bool floor_y = is_below_floor(a, y->account);
 
 	if (floor_x != floor_y)
 		return floor_y;
@@ -364,7 +364,7 @@
 			MAX(f->virtual_ms, a->virtual_ms[priority_of(r)]);
 	f->waiting++;
 	f->work_ms += r->work_ms;
-	r->party->waiting++;
+	r->account->waiting++;
 	r->waiting = true;
 	g_ptr_array_add(a->waiting, r);
 }
@@ -378,7 +378,7 @@
 		return;
 	f->waiting--;
 	f->work_ms = f->waiting ? MAX(f->work_ms - r->work_ms, 0) : 0;
-	r->party->waiting--;
+	r->account->waiting--;
 	r->waiting = false;
 	g_ptr_array_remove(a->waiting, r);
 }
@@ -391,7 +391,7 @@
 	a->allowance = MAX(a->allowance - 1, 0);
 	a->sent++;
 	a->served[priority_of(r)]++;
-	r->party->served++;
+	r->account->served++;
 	f->served[r->size]++;
 	if (!a->short_since)
 		return;
@@ -420,7 +420,7 @@
 	const struct admission_flow *own = flow_of(r);
 	double ahead = 0;
 
-	if (is_below_floor(a, r->party))
+	if (is_below_floor(a, r->account))
 		return 0;
 	for (guint i = 0; i < a->waiting->len; i++) {
 		const struct admission_request *w = a->waiting->pdata[i];
@@ -543,15 +543,15 @@
 static void count_offer(struct admission *a, uint64_t now,
 			struct admission_request *r)
 {
-	r->party = find_org(a, now, r->org);
+	r->account = find_org(a, now, r->org);
 	r->waiting = false;
 	r->offered_at = now;
 	r->size = MIN(r->size, ADMISSION_SIZES - 1);
 	decay_counts(a, now);
-	decay_org(r->party, now);
+	decay_org(r->account, now);
 	a->offered++;
 	a->demand++;
-	r->party->offered++;
+	r->account->offered++;
 	flow_of(r)->offered[r->size]++;
 	set_times(a, r);
 }
--- a/admission/admission.h
+++ b/admission/admission.h
@@ -41,7 +41,7 @@
 	double work_ms; /* expected from the send to the end */
 	uint64_t offered_at;
 	uint64_t latest; /* may start until then */
-	struct admission_org *party;
+	struct admission_org *account;
 };
 
 /* Why a request is refused, and when its client should ask again. */
