--- a/t/helper/objects.c
+++ b/t/helper/objects.c
@@ -14,10 +14,15 @@
  *   {"restore": true} goes back to the copy: later writes are lost, their
  *                     revisions are given out again, watches from a revision
  *                     above the copy's get 410, and Store-Era rises by one
+ *   {"page": N}       lists have at most N objects a page
+ * Lists are in the order of the escaped names. Targets are decoded as RFC 3986 and,
+ * in the query, HTML forms ('+' is a blank) say; one that is malformed or has a
+ * parameter that is not known gets 400.
  * To a client that uses the host 127.0.0.N, all addresses "127.0.0.1:PORT" read
  * "127.0.0.N:PORT", so that servers can tell nodes apart.
  * GET /calls returns the number of calls without x-operator, GET /calls/KIND the
- * number of lists of that kind among them that were answered.
+ * number of lists of that kind among them that were answered, GET /refused the
+ * number of those whose target was refused.
  */
 #include <json-c/json.h>
 #include <signal.h>
@@ -33,6 +38,7 @@
 #define HEAD_TIMEOUT_MS 10000
 #define TRICKLE_PIECES 8
 #define TRICKLE_INTERVAL_MS 120
+#define PAGE_ITEMS 500
 
 enum mode {
 	MODE_OK,
@@ -60,7 +66,9 @@
 };
 
 static uv_loop_t *loop;
-static GHashTable *objects; /* "kind/name" -> json_object */
+static GHashTable *objects; /* "kind/name", escaped -> json_object */
+static uint64_t page_items = PAGE_ITEMS;
+static uint64_t refused_count; /* targets */
 static GPtrArray *history; /* of struct change */
 static GPtrArray *watches;
 static uint64_t revision = 10;
@@ -265,39 +273,136 @@
 		       TRICKLE_INTERVAL_MS);
 }
 
+/* Returns the text without its escapes; NULL if one is malformed. */
+static GBytes *unescape(const char *text, bool is_form)
+{
+	g_autofree char *copy = g_strdup(text);
+
+	return g_uri_unescape_bytes(
+		is_form ? g_strdelimit(copy, "+", ' ') : copy, -1, NULL, NULL);
+}
+
+/* Returns an escaped text with no byte escaped that need not be; NULL as above. */
+static char *normalise(const char *text, bool is_form)
+{
+	g_autoptr(GBytes) bytes = unescape(text, is_form);
+	gsize len;
+	const void *data;
+
+	if (!bytes)
+		return NULL;
+	data = g_bytes_get_data(bytes, &len);
+	return len ? g_uri_escape_bytes(data, len, NULL) : g_strdup("");
+}
+
+/* Returns the value of a parameter of the query as it stands there, or NULL. */
+static char *query_value(const char *path, const char *name)
+{
+	const char *query = strchr(path, '?');
+	g_auto(GStrv) parameters = g_strsplit(query ? query + 1 : "", "&", -1);
+
+	for (size_t i = 0; parameters[i]; i++)
+		if (g_str_has_prefix(parameters[i], name) &&
+		    parameters[i][strlen(name)] == '=')
+			return g_strdup(parameters[i] + strlen(name) + 1);
+	return NULL;
+}
+
+/* Returns whether every parameter is one of the API, with a value that it may have. */
+static bool is_query_valid(const char *query)
+{
+	static const char *const numbers[] = {"watch", "wait_ms",
+					      "serializable", NULL};
+	g_auto(GStrv) parameters = g_strsplit(query, "&", -1);
+
+	for (size_t i = 0; parameters[i]; i++) {
+		char *value = strchr(parameters[i], '=');
+		g_autofree char *name = NULL;
+
+		if (!value)
+			return false;
+		*value++ = '\0';
+		if (!g_strcmp0(parameters[i], "since_rev"))
+			name = normalise(value, true);
+		else if (g_strv_contains(numbers, parameters[i]) &&
+			 strspn(value, "0123456789") == strlen(value))
+			name = g_strdup(value);
+		if (!name || !*name)
+			return false;
+	}
+	return true;
+}
+
+/* Returns whether a target below /objects/ has the form and the parts of the API. */
+static bool is_target_valid(const char *path)
+{
+	static const char allowed[] = "-._~!$&'()*+,;=:@/?%";
+	g_auto(GStrv) parts = g_strsplit(path, "?", 2);
+	g_auto(GStrv) segments = g_strsplit(parts[0], "/", -1);
+
+	for (const char *p = path; *p; p++)
+		if (!g_ascii_isalnum(*p) && !strchr(allowed, *p))
+			return false;
+	for (size_t i = 1; segments[i]; i++) {
+		g_autofree char *name = normalise(segments[i], false);
+
+		if (!name || !*name)
+			return false;
+	}
+	return g_strv_length(segments) <= 5 &&
+	       (!parts[1] || is_query_valid(parts[1]));
+}
+
+static int compare_keys(const void *a, const void *b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
 static void list_objects(struct http_server_request *req, const char *kind)
 {
 	g_autofree char *prefix = g_strdup_printf("%s/", kind);
+	g_autofree char *after =
+		query_value(http_server_path(req), "since_rev");
+	g_autofree char *name = after ? normalise(after, true) : NULL;
+	g_autofree char *after_key =
+		g_strdup_printf("%s%s", prefix, name ? name : "");
 	g_autoptr(GString) body = g_string_new("{\"items\":[");
+	g_autoptr(GPtrArray) keys = g_ptr_array_new();
 	GHashTableIter it;
-	void *key, *value;
-	bool is_first = true;
+	void *key;
+	guint n;
 
 	g_hash_table_iter_init(&it, objects);
-	while (g_hash_table_iter_next(&it, &key, &value)) {
-		g_autofree char *text = NULL;
-
-		if (!g_str_has_prefix(key, prefix))
-			continue;
-		text = object_text(value);
-		g_string_append_printf(body, "%s%s", is_first ? "" : ",", text);
-		is_first = false;
+	while (g_hash_table_iter_next(&it, &key, NULL))
+		if (g_str_has_prefix(key, prefix) && strcmp(key, after_key) > 0)
+			g_ptr_array_add(keys, key);
+	g_ptr_array_sort(keys, compare_keys);
+	n = (guint)MIN(keys->len, page_items);
+	for (guint i = 0; i < n; i++) {
+		g_autofree char *text = object_text(
+			g_hash_table_lookup(objects, keys->pdata[i]));
+
+		g_string_append_printf(body, "%s%s", i ? "," : "", text);
 	}
 	g_string_append_printf(
-		body, "],\"has_more\":false,\"as_of\":%" G_GUINT64_FORMAT "}",
-		revision);
+		body, "],\"has_more\":%s,\"as_of\":%" G_GUINT64_FORMAT "}",
+		n < keys->len ? "true" : "false", revision);
 	if (mode == MODE_TRICKLE)
 		start_trickle(req, body);
 	else
 		reply(req, 200, body->str);
 }
 
-static struct json_object *new_object(const char *name)
+static struct json_object *new_object(const char *escaped_name)
 {
 	struct json_object *o = json_object_new_object();
 	struct json_object *meta = json_object_new_object();
+	g_autoptr(GBytes) name = unescape(escaped_name, false);
+	gsize len;
+	const char *data = g_bytes_get_data(name, &len);
 
-	jcheck_add_string(meta, "name", name);
+	json_object_object_add(meta, "name",
+			       json_object_new_string_len(data, (int)len));
 	json_object_object_add(o, "meta", meta);
 	return o;
 }
@@ -408,6 +513,8 @@
 			mode = (enum mode)i;
 	if (jcheck_get(o, "forget"))
 		dropped_revision = ++revision;
+	if (jcheck_get(o, "page"))
+		page_items = (uint64_t)jcheck_get_int(o, "page", PAGE_ITEMS);
 	if (jcheck_get(o, "lose"))
 		lose_watches();
 	if (jcheck_get(o, "copy"))
@@ -437,6 +544,17 @@
 	g_auto(GStrv) segments = g_strsplit(path + strlen("/objects/"), "/", 3);
 	bool operator_call = http_server_header(req, "x-operator") != NULL;
 
+	if (!is_target_valid(http_server_path(req))) {
+		refused_count += !operator_call;
+		reply(req, 400, "{}");
+		return;
+	}
+	for (size_t i = 0; segments[i]; i++) {
+		char *name = normalise(segments[i], false);
+
+		g_free(segments[i]);
+		segments[i] = name;
+	}
 	if (!operator_call) {
 		call_count++;
 		if (mode == MODE_SILENT)
@@ -469,8 +587,11 @@
 /* Returns the count that a path below /calls asks for. */
 static uint64_t requested_count(const char *path)
 {
-	const char *kind = path + strlen("/calls");
+	const char *kind;
 
+	if (!strcmp(path, "/refused"))
+		return refused_count;
+	kind = path + strlen("/calls");
 	if (*kind != '/')
 		return call_count;
 	return GPOINTER_TO_UINT(g_hash_table_lookup(list_counts, kind + 1));
@@ -486,7 +607,8 @@
 	(void)owner;
 	if (!strcmp(http_server_path(req), "/control")) {
 		on_control(req, body);
-	} else if (g_str_has_prefix(http_server_path(req), "/calls")) {
+	} else if (g_str_has_prefix(http_server_path(req), "/calls") ||
+		   !strcmp(http_server_path(req), "/refused")) {
 		snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT "\n",
 			 requested_count(http_server_path(req)));
 		http_server_reply(req, 200, "text/plain", text, strlen(text));
--- a/t/unit/envelope_test.cc
+++ b/t/unit/envelope_test.cc
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <cstring>
 #include <string>
 #include <vector>
 
@@ -110,6 +111,29 @@
 					    : 0));
 }
 
+// A name of any bytes is one value of a query and one segment of a path.
+RC_GTEST_PROP(Envelope, ANameInATargetIsOnePartOfIt, ())
+{
+	const auto name = *rc::gen::container<std::string>(
+		rc::gen::elementOf(std::string("aZ09&+#% =?/\"\n\r\0\x7f\xc3", 18)));
+	json_object *o = json_object_new_object();
+	json_object *meta = json_object_new_object();
+	gsize len;
+
+	json_object_object_add(meta, "name",
+			       json_object_new_string_len(name.data(),
+							  (int)name.size()));
+	json_object_object_add(o, "meta", meta);
+	g_autofree char *target = platform_object_target(o);
+	json_object_put(o);
+	RC_ASSERT(strspn(target, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQR"
+				 "STUVWXYZ0123456789-._~%") == strlen(target));
+	g_autoptr(GBytes) bytes = g_uri_unescape_bytes(target, -1, NULL, NULL);
+	RC_ASSERT(!!bytes);
+	const char *data = (const char *)g_bytes_get_data(bytes, &len);
+	RC_ASSERT(std::string(data ? data : "", len) == name);
+}
+
 TEST(Envelope, KeepsTheNameOfAnItemThatIsTooDeep)
 {
 	envelope e;
