platform: a name with a NUL is not the name before it

What callers saw: beside an entry named "i-2\u0000" that drains, or once such an entry was removed, server i-2 got no request any more; as the only server of its service, every order was answered 503 "no-server", and the removal holds until i-2 writes a new entry.

Cause: names and other texts of the store's objects were taken as C strings, which end at a NUL that JSON may hold. "i-2\u0000" was i-2, "desk\u0000" the service desk, an object rollouts/desk\u0000 the order of desk (it replaced the target, and its removal ended the roll-out), config/main\u0000 the configuration.

Ruled out: the revision of the entry; a later one of the same name rightly replaces an earlier one.

--- a/json-check.c
+++ b/json-check.c
@@ -471,6 +471,20 @@
 	return json_object_get_string(val);
 }
 
+/*
+ * Returns a string member, borrowed, or NULL if there is none or it has a NUL: as a
+ * C string it would be another name.
+ */
+const char *jcheck_get_name(struct json_object *obj, const char *key)
+{
+	struct json_object *val = jcheck_get(obj, key);
+	const char *name = jcheck_get_string(obj, key, NULL);
+
+	return name && strlen(name) == (size_t)json_object_get_string_len(val)
+		       ? name
+		       : NULL;
+}
+
 /* Returns an integer member, or the fallback if there is none. */
 int64_t jcheck_get_int(struct json_object *obj, const char *key,
 		       int64_t fallback)
--- a/json-check.h
+++ b/json-check.h
@@ -52,6 +52,7 @@
 			const struct jcheck_key *keys);
 const char *jcheck_get_string(struct json_object *obj, const char *key,
 			      const char *fallback);
+const char *jcheck_get_name(struct json_object *obj, const char *key);
 int64_t jcheck_get_int(struct json_object *obj, const char *key,
 		       int64_t fallback);
 double jcheck_get_real(struct json_object *obj, const char *key,
--- /dev/null
+++ b/t/t0062-foreign-entries.sh
@@ -0,0 +1,71 @@
+#!/usr/bin/env bash
+# An object of another writer names no server, order or zone but its own, whatever its
+# name and content hold: requests and orders go on as without it.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+BASE=${BASE:-26700}
+. t/lib.sh
+. t/lib-routes.sh
+
+CHANGE_S=5      # until a change in the store is in force
+DELIVERY_S=0.6  # until a node has a change, with its pause between watches
+ORDERS=12       # beside each entry
+
+# entry FIELD=VALUE...: the entry of a ready server at the address of server 4, with
+# fields replaced; a value is JSON.
+entry() {
+	local field text="{\"service\":\"desk\",\"addr\":\"$(backend_address 4)\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\"}"
+	for field in "$@"; do text=$(jq -c ".${field%%=*} = ${field#*=}" <<<"$text"); done
+	printf '{"spec":%s}' "$text"
+}
+# put_entry NAME FIELD=VALUE...: writes it under a name, as that stands in a path.
+put_entry() {
+	local name=$1
+	shift
+	entry "$@" >"$WORK/entry"
+	curl -fs -m 5 -o /dev/null -X PUT -H 'x-operator: 1' --data-binary "@$WORK/entry" \
+		"http://$STORE/objects/servers/$name" || fail "cannot write entry $name"
+	sleep "$DELIVERY_S"
+}
+remove_entry() {
+	delete_object "servers/$1"
+	sleep "$DELIVERY_S"
+}
+count_ran_at() { curl -fs "http://$(backend_address "$1")/ran" | grep -c .; }
+# expect_served WHAT: each order is served, by server 2.
+expect_served() {
+	local before
+	before=$(count_ran_at 2)
+	for _ in $(seq "$ORDERS"); do expect "an order beside $1" 200 "$(send 1 POST /order/ok)"; done
+	expect "orders at server 2 beside $1" "$ORDERS" "$(($(count_ran_at 2) - before))"
+}
+
+start_objects
+start_backend 2 desk
+start_backend 4 other
+configure 3
+start_route_node 1
+wait_route_ready 1
+expect_served "no other entry"
+
+say "text with a NUL is not the text before it"
+put_entry 'i-2%00' 'state="draining"'
+expect_served "an entry whose name begins as that of server 2 and drains"
+remove_entry 'i-2%00'
+expect_served "the removal of that entry"
+for field in 'service="desk\u0000"' 'addr="'"$(backend_address 4)"'\u0000"' 'version="v1\u0000"' 'zone="z1\u0000"'; do
+	put_entry i-9 "$field"
+	expect_served "an entry with $field"
+	remove_entry i-9
+done
+put_object rollouts/desk '{"spec":{"service":"desk","target":"v2","over_s":600}}'
+until_true "$CHANGE_S" grep -q 'E420.*target=v2' "$WORK/route1.log" || fail "the order is not known"
+put_object rollouts/desk%00 '{"spec":{"service":"desk\u0000","target":"v3","over_s":600}}'
+put_object config/main%00 '{"spec":{"version":9,"routes":[]}}'
+sleep "$DELIVERY_S"
+delete_object rollouts/desk%00
+sleep "$DELIVERY_S"
+! grep -E 'E420.*(target=v3|state=removed)' "$WORK/route1.log" || fail "another object replaces or removes an order"
+! grep 'E200.*revision=9' "$WORK/route1.log" || fail "another object is the configuration"
+delete_object rollouts/desk
+say "foreign entries: passed"
--- a/t/unit/envelope_test.cc
+++ b/t/unit/envelope_test.cc
@@ -134,6 +134,18 @@
 	RC_ASSERT(std::string(data ? data : "", len) == name);
 }
 
+// As a C string it would be the name of another object.
+TEST(Envelope, ANameWithANulIsNone)
+{
+	envelope e;
+	const auto names =
+		names_in(answer({item("i-2", "{}"), item("i-2\\u0000", "{}"),
+				 item("i-2\\u0000x", "{}")}),
+			 &e);
+	envelope_clear(&e);
+	EXPECT_EQ(names, (std::vector<std::string>{"i-2", "-", "-"}));
+}
+
 TEST(Envelope, KeepsTheNameOfAnItemThatIsTooDeep)
 {
 	envelope e;
