--- a/t/t0062-foreign-entries.sh
+++ b/t/t0062-foreign-entries.sh
@@ -9,6 +9,7 @@
 
 CHANGE_S=5      # until a change in the store is in force
 DELIVERY_S=0.6  # until a node has a change, with its pause between watches
+ROLLOUT_S=25    # for a roll-out over 8 s
 ORDERS=12       # beside each entry
 
 # entry FIELD=VALUE...: the entry of a ready server at the address of server 4, with
@@ -68,4 +69,19 @@
 ! grep -E 'E420.*(target=v3|state=removed)' "$WORK/route1.log" || fail "another object replaces or removes an order"
 ! grep 'E200.*revision=9' "$WORK/route1.log" || fail "another object is the configuration"
 delete_object rollouts/desk
+say "a roll-out is ordered under the name of its service only"
+start_backend 3 desk v2
+put_object rollouts/desk '{"spec":{"service":"desk","target":"v2","over_s":8}}'
+until_true "$CHANGE_S" grep -q 'E420.*target=v2 over_ms=8000' "$WORK/route1.log" || fail "the order is not known"
+put_object 'rollouts/desk%202' '{"spec":{"service":"desk","target":"v9","over_s":600}}'
+is_order_completed() {
+	for _ in 1 2 3 4 5 6 7 8; do send 1 GET /read/ok >/dev/null; done
+	curl -fs -H 'x-operator: 1' "http://$STORE/objects/rollouts" | grep -q completed
+}
+until_true "$ROLLOUT_S" is_order_completed || fail "another object's order is followed"
+! grep -q 'target=v9' "$WORK/route1.log" || fail "another object's order is known"
+for name in desk 'desk%202'; do delete_object "rollouts/$name"; done
+delete_object servers/i-3
+sleep "$DELIVERY_S"
+expect_served "no order any more"
 say "foreign entries: passed"
--- a/t/unit/envelope_test.cc
+++ b/t/unit/envelope_test.cc
@@ -146,6 +146,18 @@
 	EXPECT_EQ(names, (std::vector<std::string>{"i-2", "-", "-"}));
 }
 
+// Two objects would order roll-outs of one service.
+TEST(Envelope, AnOrderOfAnotherNameIsNone)
+{
+	const char *spec = "{\"service\":\"desk\",\"target\":\"v2\"}";
+	for (const std::string name : {"desk", "desk 2"}) {
+		json_object *o = json_tokener_parse(item(name, spec).c_str());
+		feed_rollout order;
+		EXPECT_EQ(platform_translate_rollout(o, &order), name == "desk");
+		json_object_put(o);
+	}
+}
+
 TEST(Envelope, KeepsTheNameOfAnItemThatIsTooDeep)
 {
 	envelope e;
