servers: don't use an entry whose id no header field can hold

What callers saw: an entry of another writer named "i-4\r\nX-Forged: 1" put the header field X-Forged into the requests that this writer's server got: 1 of 1 orders ran there so, with the id before the line break accepted as its own.

Cause: a server's id stands in a header field of each request as it is (X-Chivegw-Expect-Instance), and any text was an id. With a blank, a tab, other control characters or bytes beyond ASCII the field is not what was meant either: five such names got one attempt each, and the order 503. Long ids make a head that no server takes.

Change: server_entry_unusable_field() says for which field an entry names no server to use: an id with more than graphic ASCII characters, or an id, service, zone or version of over 255 bytes, which go into log lines and into the state that nodes tell each other. The gateway asks it for entries of the store and of other nodes alike, logs E723, and a server of that id counts as removed. Names with "&", "+", "#" or "%" can be held by a field and stay usable.

The bounds on service, zone and version have a unit test only.

--- a/daemon/gateway.c
+++ b/daemon/gateway.c
@@ -266,13 +266,34 @@
 	gateway_serve_pending(g);
 }
 
+static void on_server_removed(void *user, const char *id, uint64_t revision)
+{
+	struct gateway_state *g = user;
+
+	g->latest_revision[FEED_SERVERS] =
+		MAX(g->latest_revision[FEED_SERVERS], revision);
+	if (server_remove(&g->servers, id, revision))
+		log_event(LOG_EVENT_SERVER_CHANGED,
+			  "server=%s to=gone revision=%" G_GUINT64_FORMAT, id,
+			  revision);
+}
+
+/* A server whose entry is no longer usable counts as removed. */
 static void on_server(void *user, const struct server_entry *entry)
 {
 	struct gateway_state *g = user;
+	const char *unusable = server_entry_unusable_field(entry);
 	const struct server_record *old = server_find(&g->servers, entry->id);
 	enum server_state before = old ? old->state : SERVER_REMOVED;
 	struct server_record *s;
 
+	if (unusable) {
+		log_event(LOG_EVENT_SERVER_UNUSABLE,
+			  "field=%s server=%.64s revision=%" G_GUINT64_FORMAT,
+			  unusable, entry->id, entry->revision);
+		on_server_removed(user, entry->id, entry->revision);
+		return;
+	}
 	g->latest_revision[FEED_SERVERS] =
 		MAX(g->latest_revision[FEED_SERVERS], entry->revision);
 	s = server_update(&g->servers, gateway_now(g), entry);
@@ -286,18 +307,6 @@
 			  server_state_name(s->state), s->revision);
 }
 
-static void on_server_removed(void *user, const char *id, uint64_t revision)
-{
-	struct gateway_state *g = user;
-
-	g->latest_revision[FEED_SERVERS] =
-		MAX(g->latest_revision[FEED_SERVERS], revision);
-	if (server_remove(&g->servers, id, revision))
-		log_event(LOG_EVENT_SERVER_CHANGED,
-			  "server=%s to=gone revision=%" G_GUINT64_FORMAT, id,
-			  revision);
-}
-
 static void on_server_listing(void *user, enum feed_topic topic, bool ended)
 {
 	struct gateway_state *g = user;
--- a/exchange/servers.c
+++ b/exchange/servers.c
@@ -219,6 +219,32 @@
 	return NULL;
 }
 
+/* Returns whether the value of a header field can hold the id, and no blank in it. */
+static bool is_usable_id(const char *id)
+{
+	for (const char *p = id; *p; p++)
+		if (!g_ascii_isgraph(*p))
+			return false;
+	return *id && strlen(id) <= SERVER_ENTRY_TEXT_MAX_BYTES;
+}
+
+/*
+ * Returns the name of a field for which the entry names no server to use, or NULL
+ * if it names one.
+ */
+const char *server_entry_unusable_field(const struct server_entry *entry)
+{
+	if (!is_usable_id(entry->id))
+		return "id";
+	if (strlen(entry->service) > SERVER_ENTRY_TEXT_MAX_BYTES)
+		return "service";
+	if (strlen(entry->zone) > SERVER_ENTRY_TEXT_MAX_BYTES)
+		return "zone";
+	if (strlen(entry->version) > SERVER_ENTRY_TEXT_MAX_BYTES)
+		return "version";
+	return NULL;
+}
+
 /*
  * Adds a server or updates it from a newer entry, and returns it. An entry of a
  * lower revision than the known one changes nothing, so a late message cannot
--- a/exchange/servers.h
+++ b/exchange/servers.h
@@ -46,6 +46,9 @@
 	uint64_t born; /* when the server started, Unix ms; 0: unknown */
 };
 
+/* Longest text of an entry that is used. */
+#define SERVER_ENTRY_TEXT_MAX_BYTES 255
+
 /* What this node knows of one server. */
 struct server_record {
 	char *id;
@@ -151,6 +154,7 @@
 struct server_record *server_find(const struct server_table *t, const char *id);
 struct server_record *server_find_by_hash(const struct server_table *t,
 					  uint64_t hash);
+const char *server_entry_unusable_field(const struct server_entry *entry);
 struct server_record *server_update(struct server_table *t, uint64_t now,
 				    const struct server_entry *entry);
 void server_hear_cold(struct server_table *t, uint64_t now, const char *id,
--- a/log-event.h
+++ b/log-event.h
@@ -58,6 +58,7 @@
 	X(SHIFT_PLAN, 421, MESSAGE, "roll-out plan")                           \
 	X(ROLLOUT_WRITTEN, 422, MESSAGE, "end of a roll-out written")          \
 	X(SERVER_CHANGED, 710, MESSAGE, "server changed state")                \
+	X(SERVER_UNUSABLE, 723, WARNING, "entry names no server to use")       \
 	X(SERVER_PAUSE, 713, MESSAGE, "server asked for a pause")              \
 	X(PART_BLOCKED, 714, WARNING, "part of prompts crashes servers")       \
 	X(REQUEST_BLOCKED, 716, WARNING, "request crashes servers")            \
--- a/t/t0062-foreign-entries.sh
+++ b/t/t0062-foreign-entries.sh
@@ -10,6 +10,7 @@
 CHANGE_S=5      # until a change in the store is in force
 DELIVERY_S=0.6  # until a node has a change, with its pause between watches
 ROLLOUT_S=25    # for a roll-out over 8 s
+LONG_NAME=$(head -c 3000 /dev/zero | tr '\0' x)
 ORDERS=12       # beside each entry
 
 # entry FIELD=VALUE...: the entry of a ready server at the address of server 4, with
@@ -84,4 +85,14 @@
 delete_object servers/i-3
 sleep "$DELIVERY_S"
 expect_served "no order any more"
+say "a name that no header field holds is of no server"
+delete_object servers/i-2
+for name in 'i-4%0D%0AX-Forged%3A%201' 'i-4%20' 'i-4%09' 'i-4%7F' 'i-4%C3%A9' "$LONG_NAME"; do
+	put_entry "$name"
+	expect "an order with no server but ${name:0:30}" 503 "$(send 1 POST /order/ok)"
+	remove_entry "$name"
+done
+put_server 2 desk v1 ready
+sleep "$DELIVERY_S"
+expect_served "no such entry any more"
 say "foreign entries: passed"
--- a/t/unit/exchange_test.cc
+++ b/t/unit/exchange_test.cc
@@ -1045,4 +1045,34 @@
 	peer_loads_clear(&l);
 }
 
+// The id stands in a header field of each request, the texts in lines and messages.
+TEST(Servers, EntriesThatNoRequestOrMessageCanNameAreUnusable)
+{
+	const std::string long_text(SERVER_ENTRY_TEXT_MAX_BYTES + 1, 'x');
+	const auto unusable = [](const std::string &id,
+				 const std::string &service = "s",
+				 const std::string &zone = "z",
+				 const std::string &version = "") {
+		server_entry e = {};
+		e.id = id.c_str();
+		e.service = service.c_str();
+		e.address = "10.0.0.1:1";
+		e.zone = zone.c_str();
+		e.version = version.c_str();
+		const char *field = server_entry_unusable_field(&e);
+		return std::string(field ? field : "-");
+	};
+
+	for (const char *id : {"i-7f3a91c2", "a&b+c#d%e?/\"", "~"})
+		EXPECT_EQ(unusable(id), "-") << id;
+	for (const char *id : {"", " ", "a b", "a ", "a\r\nb: c", "a\t", "a\x7f",
+			       "\xc3\xa9"})
+		EXPECT_EQ(unusable(id), "id") << id;
+	EXPECT_EQ(unusable(long_text.substr(1)), "-");
+	EXPECT_EQ(unusable(long_text), "id");
+	EXPECT_EQ(unusable("a", long_text), "service");
+	EXPECT_EQ(unusable("a", "s", long_text), "zone");
+	EXPECT_EQ(unusable("a", "s", "z", long_text), "version");
+}
+
 } // namespace
