log-event: write control characters as escapes

What operators saw: an entry of another writer whose zone held a line break wrote a line of its own into the log of every node, in the form of an error event (E105 "node terminated by a signal"), and terminal sequences reached whoever read the log. Callers saw nothing of it.

Cause: texts from outside (names and fields of the store's objects, ids of clients, header fields of servers) go into E7xx and E2xx lines as they are, and the writer ended a line wherever a text did.

Change: the writer replaces each control character of a message by \xNN, for all events at one place. Bytes beyond ASCII stay.

--- a/log-event.c
+++ b/log-event.c
@@ -72,6 +72,21 @@
 	g_string_append_printf(out, "%s.%06ldZ", text, now.tv_nsec / 1000);
 }
 
+/* Appends a text, with control characters as \xNN: others wrote parts of it. */
+static void append_printable(GString *out, const char *text)
+{
+	const char *run = text;
+
+	for (; *text; text++) {
+		if (!g_ascii_iscntrl(*text))
+			continue;
+		g_string_append_len(out, run, text - run);
+		g_string_append_printf(out, "\\x%02x", (unsigned char)*text);
+		run = text + 1;
+	}
+	g_string_append_len(out, run, text - run);
+}
+
 /*
  * Appends one line to the pending ones: time, level, node, number, text. Drops
  * it if more than MAX_PENDING_BYTES are pending.
@@ -86,9 +101,10 @@
 		return G_LOG_WRITER_HANDLED;
 	}
 	append_time(pending);
-	g_string_append_printf(pending, " %s %s E%s %s\n", level_name(level),
-			       node_name, find_field(fields, n, "EVENT"),
-			       find_field(fields, n, "MESSAGE"));
+	g_string_append_printf(pending, " %s %s E%s ", level_name(level),
+			       node_name, find_field(fields, n, "EVENT"));
+	append_printable(pending, find_field(fields, n, "MESSAGE"));
+	g_string_append_c(pending, '\n');
 	if (!buffering)
 		log_event_flush();
 	return G_LOG_WRITER_HANDLED;
--- a/t/t0062-foreign-entries.sh
+++ b/t/t0062-foreign-entries.sh
@@ -95,4 +95,10 @@
 put_server 2 desk v1 ready
 sleep "$DELIVERY_S"
 expect_served "no such entry any more"
+say "a text of an entry makes no line of the log"
+put_entry i-5 'zone="z1\n2026-01-01T00:00:00.000000Z error route1 E105 forged\u001b[2J"'
+grep -q 'E710.*server=i-5' "$WORK/route1.log" || fail "the entry is not known"
+! grep -q '^2026-01-01' "$WORK/route1.log" || fail "a line of the log was written by another"
+! grep -q $'\x1b' "$WORK/route1.log" || fail "a control character is in the log"
+remove_entry i-5
 say "foreign entries: passed"
