exchange: reject requests for a server that has the node's own address

Cause: the request went to that node as to a server, so without the client's key; the node took it for a client's, and its 401 looked like the server's answer. Without a key to miss, on a public route, it would have gone round.

A client that sends the field with another value is served as before.

Ruled out: leaving such entries out by address at the reader. A node knows its own address for clients, but not those of all others.

Open: a node that listens at 0.0.0.0 doesn't know its address.

--- a/exchange/intake-task.c
+++ b/exchange/intake-task.c
@@ -127,6 +127,21 @@
 	return false;
 }
 
+/*
+ * Returns true if a node sent the request to a server whose entry has this node's
+ * own address. It would go round between nodes, without the client's key.
+ */
+static bool is_for_server_at_own_address(const struct gateway_state *g,
+					 struct http_server_request *req)
+{
+	const char *id =
+		http_server_header(req, g->header_names->expect_server);
+	const struct server_record *s =
+		id ? server_find(&g->servers, id) : NULL;
+
+	return s && !strcmp(s->address, g->settings->caller_address);
+}
+
 /* A request that waits for the configuration. */
 struct pending_request {
 	struct gateway_state *g;
@@ -201,6 +216,10 @@
 			       NO_CONFIG_RETRY_AFTER_MS);
 		return;
 	}
+	if (is_for_server_at_own_address(g, req)) {
+		refuse_not_run(g, req, relayed, 421, "own-address", 0);
+		return;
+	}
 	h = host ? route_match(g->routes, host, http_server_path(req))
 		 : ROUTE_NONE;
 	if (h == ROUTE_NONE) {
--- a/t/t0062-foreign-entries.sh
+++ b/t/t0062-foreign-entries.sh
@@ -46,8 +46,10 @@
 start_backend 2 desk
 start_backend 4 other
 configure 3
-start_route_node 1
-wait_route_ready 1
+for n in 1 2; do
+	start_route_node "$n"
+	wait_route_ready "$n"
+done
 expect_served "no other entry"
 
 say "text with a NUL is not the text before it"
@@ -101,4 +103,11 @@
 ! grep -q '^2026-01-01' "$WORK/route1.log" || fail "a line of the log was written by another"
 ! grep -q $'\x1b' "$WORK/route1.log" || fail "a control character is in the log"
 remove_entry i-5
+say "a node that is named as a server is none"
+for n in 1 2; do
+	put_entry i-6 "addr=\"$(client_address "$n")\""
+	expect_served "an entry with the address of node $n"
+	remove_entry i-6
+done
+
 say "foreign entries: passed"
