gateway: don't use an entry without an address to connect to

Cause: the address of an entry was parsed only as a request was to be sent. Two such attempts are a request's limit for connections that fail.

Change: an entry whose address is not IPv4 and a port names no server to use; it is left out as it is read, with E723 field=address.

Evidence: t0062 fails on the commit before ("an entry with the address nowhere is used") and passes now. Handled already, test kept: an entry with the address of another server (421, no attempt, all orders served).

--- a/daemon/gateway.c
+++ b/daemon/gateway.c
@@ -20,6 +20,7 @@
 #include "fleet/findings-task.h"
 #include "fleet/fleet-task.h"
 #include "fleet/state-task.h"
+#include "http/address.h"
 #include "invariant.h"
 #include "log-event.h"
 #include "platform/feed-task.h"
@@ -278,11 +279,21 @@
 			  revision);
 }
 
+/* Returns the name of a field for which an entry names no server to use, or NULL. */
+static const char *unusable_field(const struct server_entry *entry)
+{
+	struct sockaddr_in sa;
+
+	if (!address_parse(entry->address, &sa, NULL))
+		return "address";
+	return server_entry_unusable_field(entry);
+}
+
 /* A server whose entry is no longer usable counts as removed. */
 static void on_server(void *user, const struct server_entry *entry)
 {
 	struct gateway_state *g = user;
-	const char *unusable = server_entry_unusable_field(entry);
+	const char *unusable = unusable_field(entry);
 	const struct server_record *old = server_find(&g->servers, entry->id);
 	enum server_state before = old ? old->state : SERVER_REMOVED;
 	struct server_record *s;
--- a/t/t0062-foreign-entries.sh
+++ b/t/t0062-foreign-entries.sh
@@ -103,6 +103,19 @@
 ! grep -q '^2026-01-01' "$WORK/route1.log" || fail "a line of the log was written by another"
 ! grep -q $'\x1b' "$WORK/route1.log" || fail "a control character is in the log"
 remove_entry i-5
+say "an address that can't be connected to is of no server"
+for address in nowhere localhost:80 127.0.0.1 '127.0.0.1 :80' 127.0.0.1:0 127.0.0.1:65536 '[::1]:80'; do
+	put_entry i-7 "addr=\"$address\""
+	! grep -q 'E710.*server=i-7 .*to=ready' "$WORK"/route*.log || fail "an entry with the address $address is used"
+	expect_served "an entry with the address $address"
+	remove_entry i-7
+done
+
+say "an entry with the address of another server"
+put_entry i-8 "addr=\"$(backend_address 2)\""
+expect_served "an entry with the address of server 2"
+remove_entry i-8
+
 say "a node that is named as a server is none"
 for n in 1 2; do
 	put_entry i-6 "addr=\"$(client_address "$n")\""
