store: escape the names of objects in targets

What callers saw: with a roll-out named "q4 & 50%#" (product's own API and object store) the bad version was never stopped: state "running" after 25 s under load, where it is stopped within that time under the name "q4". The version went on getting its share of requests.

The name of a roll-out, which an operator chooses, is part of the name of the object that holds its evidence; the store answered 400 to each write.

Ruled out: other names in these targets. Sections are named by a digest, orders by a hash; a status by the node's name and usage by the node's names, which now are escaped as well. Ids that `chivegw explain` asks for are the node's own, in hex.

Change: target_of() escapes all but slashes. Names without such characters have the targets that they had.

--- a/store/store-task.c
+++ b/store/store-task.c
@@ -161,11 +161,22 @@
 	start_call(s, &req, extra_ms, true, done, user);
 }
 
+/*
+ * Returns the target of an object, or of a prefix of names, newly allocated. Slashes
+ * in the name divide it into segments.
+ */
+static char *target_of(const char *name)
+{
+	g_autofree char *escaped = g_uri_escape_string(name, "/", FALSE);
+
+	return g_strdup_printf("/objects/%s", escaped);
+}
+
 /* Reads an object; the result holds its body and etag. */
 void store_get(struct store_client *s, const char *name, store_callback done,
 	       void *user)
 {
-	g_autofree char *path = g_strdup_printf("/objects/%s", name);
+	g_autofree char *path = target_of(name);
 
 	get_path(s, path, 0, done, user);
 }
@@ -178,7 +189,7 @@
 	       size_t len, enum store_condition condition, uint64_t etag,
 	       store_callback done, void *user)
 {
-	g_autofree char *path = g_strdup_printf("/objects/%s", name);
+	g_autofree char *path = target_of(name);
 	char header[64] = "if-none-match: *\r\n";
 	struct http_client_request req = {
 		.method = "PUT",
@@ -201,9 +212,10 @@
 void store_watch(struct store_client *s, const char *name, uint64_t etag,
 		 uint32_t wait_ms, store_callback done, void *user)
 {
-	g_autofree char *path = g_strdup_printf(
-		"/objects/%s?watch=%" G_GUINT64_FORMAT "&timeout_ms=%u", name,
-		etag, wait_ms);
+	g_autofree char *target = target_of(name);
+	g_autofree char *path =
+		g_strdup_printf("%s?watch=%" G_GUINT64_FORMAT "&timeout_ms=%u",
+				target, etag, wait_ms);
 
 	get_path(s, path, wait_ms, done, user);
 }
@@ -212,7 +224,8 @@
 void store_list_names(struct store_client *s, const char *prefix,
 		      store_callback done, void *user)
 {
-	g_autofree char *path = g_strdup_printf("/objects/%s?list=1", prefix);
+	g_autofree char *target = target_of(prefix);
+	g_autofree char *path = g_strdup_printf("%s?list=1", target);
 
 	get_path(s, path, 0, done, user);
 }
--- a/t/helper/platform.c
+++ b/t/helper/platform.c
@@ -390,6 +390,10 @@
 {
 	const char *path = http_server_path(req);
 	g_auto(GStrv) parts = g_strsplit(path, "?", 2);
+	g_autofree char *decoded = g_uri_unescape_string(parts[0], NULL);
+	const char *name = decoded && g_str_has_prefix(decoded, "/objects/")
+				   ? decoded + strlen("/objects/")
+				   : NULL;
 
 	(void)owner;
 	if (!strcmp(path, "/control")) {
@@ -407,10 +411,13 @@
 	} else if (!g_str_has_prefix(path, "/objects/")) {
 		http_server_reply_json(req, 404,
 				       "{\"error\":\"no such path\"}");
+	} else if (!name || strchr(path, '#')) {
+		http_server_reply_json(req, 400,
+				       "{\"error\":\"malformed target\"}");
 	} else if (!strcmp(http_server_method(req), "PUT")) {
-		on_put(req, parts[0] + strlen("/objects/"));
+		on_put(req, name);
 	} else {
-		on_get(req, parts[0] + strlen("/objects/"), parts[1]);
+		on_get(req, name, parts[1]);
 	}
 }
 
--- a/t/t0005-rollout.sh
+++ b/t/t0005-rollout.sh
@@ -7,6 +7,7 @@
 . t/lib.sh
 
 KEY=etcheverry-tenders-key
+BAD='q4 & 50%#' # a name that targets hold only with escapes
 CLI=$BUILD/chivegw
 start_platform
 for n in 1 2 3; do
@@ -29,13 +30,13 @@
 is_stopped() { [ "$(rollout_state | cut -d' ' -f1)" = stopped ]; }
 
 say "a bad version: stopped automatically, few clients get it"
-"$CLI" rollout start q4 --from quill@3 --to quill@4 --steps 0.1,0.5,1 --wait 9 >/dev/null 2>&1 || fail "rollout start failed"
+"$CLI" rollout start "$BAD" --from quill@3 --to quill@4 --steps 0.1,0.5,1 --wait 9 >/dev/null 2>&1 || fail "rollout start failed"
 load 25 60 >"$WORK/load.json" &
 loader=$!
 until_true 25 is_stopped || fail "not stopped: $(rollout_state)"
 expect reason "stopped worse than quill@3 by rating" "$(rollout_state)"
-"$CLI" explain rollout q4 >"$WORK/out" || fail "explain failed: $(cat "$WORK/out")"
-grep -q "^q4 from quill@3 to quill@4: stopped, step 0: worse than quill@3 by rating$" "$WORK/out" || fail "explain printed: $(cat "$WORK/out")"
+"$CLI" explain rollout "$BAD" >"$WORK/out" || fail "explain failed: $(cat "$WORK/out")"
+grep -qxF "$BAD from quill@3 to quill@4: stopped, step 0: worse than quill@3 by rating" "$WORK/out" || fail "explain printed: $(cat "$WORK/out")"
 grep -q "^rating  *new: [1-9]" "$WORK/out" || fail "explain printed: $(cat "$WORK/out")"
 runs_at_stop=$(count_runs quill@4)
 wait $loader || fail "the load generator failed"
