t0061, t0062: wait for events, and use ports of their own

The ports of both overlapped with those of t0006, t0007 and the mutants of t0101, which may run beside them. t0062 waited 0.6 s for changes that a busy machine may take longer to deliver; it now waits for the event that tells of each.

--- a/t/t0061-foreign-names.sh
+++ b/t/t0061-foreign-names.sh
@@ -3,7 +3,7 @@
 # objects on the pages after it: a fleet that starts beside it serves.
 set -u
 cd "$(dirname "$0")/.." || exit 1
-BASE=${BASE:-25300}
+BASE=${BASE:-5190}
 . t/lib.sh
 . t/lib-routes.sh
 
--- a/t/t0062-foreign-entries.sh
+++ b/t/t0062-foreign-entries.sh
@@ -3,7 +3,7 @@
 # name and content hold: requests and orders go on as without it.
 set -u
 cd "$(dirname "$0")/.." || exit 1
-BASE=${BASE:-26700}
+BASE=${BASE:-3150}
 . t/lib.sh
 . t/lib-routes.sh
 
@@ -34,6 +34,11 @@
 	sleep "$DELIVERY_S"
 }
 count_ran_at() { curl -fs "http://$(backend_address "$1")/ran" | grep -c .; }
+# wait_for_event EVENT PATTERN: until the last such line of node 1 matches.
+last_event_matches() { grep "$1" "$WORK/route1.log" | tail -n 1 | grep -q "$2"; }
+wait_for_event() {
+	until_true "$CHANGE_S" last_event_matches "$1" "$2" || fail "no event $1 with $2"
+}
 # expect_served WHAT: each order is served, by server 2.
 expect_served() {
 	local before
@@ -63,7 +68,7 @@
 	remove_entry i-9
 done
 put_object rollouts/desk '{"spec":{"service":"desk","target":"v2","over_s":600}}'
-until_true "$CHANGE_S" grep -q 'E420.*target=v2' "$WORK/route1.log" || fail "the order is not known"
+wait_for_event E420 'target=v2'
 put_object rollouts/desk%00 '{"spec":{"service":"desk\u0000","target":"v3","over_s":600}}'
 put_object config/main%00 '{"spec":{"version":9,"routes":[]}}'
 sleep "$DELIVERY_S"
@@ -72,10 +77,12 @@
 ! grep -E 'E420.*(target=v3|state=removed)' "$WORK/route1.log" || fail "another object replaces or removes an order"
 ! grep 'E200.*revision=9' "$WORK/route1.log" || fail "another object is the configuration"
 delete_object rollouts/desk
+wait_for_event E420 'service=desk state=removed'
+
 say "a roll-out is ordered under the name of its service only"
 start_backend 3 desk v2
 put_object rollouts/desk '{"spec":{"service":"desk","target":"v2","over_s":8}}'
-until_true "$CHANGE_S" grep -q 'E420.*target=v2 over_ms=8000' "$WORK/route1.log" || fail "the order is not known"
+wait_for_event E420 'target=v2 over_ms=8000'
 put_object 'rollouts/desk%202' '{"spec":{"service":"desk","target":"v9","over_s":600}}'
 is_order_completed() {
 	for _ in 1 2 3 4 5 6 7 8; do send 1 GET /read/ok >/dev/null; done
@@ -84,25 +91,30 @@
 until_true "$ROLLOUT_S" is_order_completed || fail "another object's order is followed"
 ! grep -q 'target=v9' "$WORK/route1.log" || fail "another object's order is known"
 for name in desk 'desk%202'; do delete_object "rollouts/$name"; done
+wait_for_event E420 'service=desk state=removed'
 delete_object servers/i-3
-sleep "$DELIVERY_S"
+wait_for_event 'E710.*server=i-3' 'to=gone'
 expect_served "no order any more"
+
 say "a name that no header field holds is of no server"
 delete_object servers/i-2
+wait_for_event 'E710.*server=i-2 ' 'to=gone'
 for name in 'i-4%0D%0AX-Forged%3A%201' 'i-4%20' 'i-4%09' 'i-4%7F' 'i-4%C3%A9' "$LONG_NAME"; do
 	put_entry "$name"
 	expect "an order with no server but ${name:0:30}" 503 "$(send 1 POST /order/ok)"
 	remove_entry "$name"
 done
 put_server 2 desk v1 ready
-sleep "$DELIVERY_S"
+wait_for_event 'E710.*server=i-2 ' 'to=ready'
 expect_served "no such entry any more"
+
 say "a text of an entry makes no line of the log"
 put_entry i-5 'zone="z1\n2026-01-01T00:00:00.000000Z error route1 E105 forged\u001b[2J"'
-grep -q 'E710.*server=i-5' "$WORK/route1.log" || fail "the entry is not known"
+wait_for_event 'E710.*server=i-5 ' 'to=ready'
 ! grep -q '^2026-01-01' "$WORK/route1.log" || fail "a line of the log was written by another"
 ! grep -q $'\x1b' "$WORK/route1.log" || fail "a control character is in the log"
 remove_entry i-5
+
 say "an address that can't be connected to is of no server"
 for address in nowhere localhost:80 127.0.0.1 '127.0.0.1 :80' 127.0.0.1:0 127.0.0.1:65536 '[::1]:80'; do
 	put_entry i-7 "addr=\"$address\""
