--- a/t/helper/crowd.c
+++ b/t/helper/crowd.c
@@ -6,6 +6,9 @@
  * body of BYTES bytes but for its end: at once, in small pieces, or in chunks.
  * With idle it sends nothing. With unread it sends a whole POST without a body
  * and reads nothing of the answer until SIGUSR1; then it reads to the end.
+ * With ahead and ahead-post it sends GETs, or POSTs with bodies of AHEAD_BODY_BYTES,
+ * one behind the other until it has sent BYTES bytes, and reads nothing; it connects
+ * again if it is closed before.
  * "sent" is printed once no connection has anything left to send or all are
  * closed. At the end of unread, "complete N" tells how many answers ended with
  * an empty chunk. The process stays until it is killed, except after unread.
@@ -30,13 +33,25 @@
 #define READ_BYTES 65536
 #define RECEIVE_BUFFER_BYTES 32768 /* keeps little of an answer in the kernel */
 #define LAST_CHUNK "0\r\n\r\n"
+#define AHEAD_RECEIVE_BUFFER_BYTES 4096
+#define AHEAD_BODY_BYTES 1000
+#define AHEAD_BLOCK_BYTES 65536 /* sent at once, at least, in whole requests */
 
 struct client {
 	int fd; /* -1: closed */
 	GString *rest; /* to be sent */
+	size_t ahead_left; /* bytes that it goes on to send behind the rest */
 	char end[sizeof(LAST_CHUNK)]; /* the last bytes received */
 };
 
+struct crowd {
+	struct sockaddr_in sa;
+	const char *mode;
+	struct client *clients;
+	guint count;
+	GString *block; /* of requests that are sent ahead */
+};
+
 static volatile sig_atomic_t reading;
 
 static void on_usr1(int number)
@@ -45,12 +60,34 @@
 	reading = 1;
 }
 
+static bool is_ahead(const char *mode)
+{
+	return g_str_has_prefix(mode, "ahead");
+}
+
+static GString *make_block(const char *mode, const char *path, char **lines)
+{
+	bool post = !strcmp(mode, "ahead-post");
+	g_autofree char *body = g_strnfill(post ? AHEAD_BODY_BYTES : 0, 'x');
+	g_autofree char *fields = g_strjoinv("\r\n", lines);
+	GString *s = g_string_new(NULL);
+
+	while (s->len < AHEAD_BLOCK_BYTES)
+		g_string_append_printf(
+			s,
+			"%s %s HTTP/1.1\r\n%s\r\nContent-Length: "
+			"%zu\r\n\r\n%s",
+			post ? "POST" : "GET", path, fields, strlen(body),
+			body);
+	return s;
+}
+
 static GString *make_request(const char *mode, size_t bytes, const char *path,
 			     char **lines)
 {
 	GString *s = g_string_new(NULL);
 
-	if (!strcmp(mode, "idle"))
+	if (!strcmp(mode, "idle") || is_ahead(mode))
 		return s;
 	g_string_append_printf(s, "POST %s HTTP/1.1\r\n", path);
 	for (; *lines; lines++)
@@ -76,15 +113,16 @@
 	return s;
 }
 
-static void open_client(struct client *c, const struct sockaddr_in *sa,
-			const char *mode)
+static void open_client(struct client *c, const struct crowd *crowd)
 {
-	const int size = RECEIVE_BUFFER_BYTES;
+	const int size = is_ahead(crowd->mode) ? AHEAD_RECEIVE_BUFFER_BYTES
+					       : RECEIVE_BUFFER_BYTES;
 
 	c->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	if (!strcmp(mode, "unread"))
+	if (!strcmp(crowd->mode, "unread") || is_ahead(crowd->mode))
 		setsockopt(c->fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
-	if (connect(c->fd, (const struct sockaddr *)sa, sizeof(*sa)) != 0) {
+	if (connect(c->fd, (const struct sockaddr *)&crowd->sa,
+		    sizeof(crowd->sa)) != 0) {
 		close(c->fd);
 		c->fd = -1;
 		return;
@@ -126,26 +164,43 @@
 		close_client(c);
 }
 
+/* Connects a closed client again and adds to its rest while it has more to send. */
+static void continue_ahead(struct client *c, const struct crowd *crowd)
+{
+	if (!c->ahead_left)
+		return;
+	if (c->fd < 0)
+		open_client(c, crowd);
+	if (c->fd < 0 || c->rest->len)
+		return;
+	g_string_append_len(c->rest, crowd->block->str,
+			    (gssize)crowd->block->len);
+	c->ahead_left -= MIN(c->ahead_left, crowd->block->len);
+}
+
 /* Waits for all connections and serves them once; returns how many are open. */
-static guint run_once(struct client *clients, guint count, const char *mode)
+static guint run_once(struct crowd *crowd)
 {
+	guint count = crowd->count;
 	g_autofree struct pollfd *fds = g_new0(struct pollfd, count);
-	bool unread = !strcmp(mode, "unread");
-	bool pieces = !strcmp(mode, "pieces");
+	bool unread = !strcmp(crowd->mode, "unread");
+	bool pieces = !strcmp(crowd->mode, "pieces");
+	bool reads = unread ? reading : !is_ahead(crowd->mode);
 	guint open = 0;
 
 	for (guint i = 0; i < count; i++) {
-		struct client *c = &clients[i];
+		struct client *c = &crowd->clients[i];
 
-		fds[i].fd = c->fd;
+		continue_ahead(c, crowd);
 		fds[i].events = (short)((c->rest->len ? POLLOUT : 0) |
-					(!unread || reading ? POLLIN : 0));
+					(reads ? POLLIN : 0));
+		fds[i].fd = fds[i].events ? c->fd : -1;
 		open += c->fd >= 0;
 	}
 	if (poll(fds, count, 100) <= 0)
 		return open;
 	for (guint i = 0; i < count; i++) {
-		struct client *c = &clients[i];
+		struct client *c = &crowd->clients[i];
 
 		if (c->fd >= 0 && (fds[i].revents & POLLOUT))
 			send_some(c, pieces ? PIECE_BYTES : c->rest->len);
@@ -158,44 +213,52 @@
 	return open;
 }
 
-static bool has_rest(const struct client *clients, guint count)
+static bool has_rest(const struct crowd *crowd)
 {
-	for (guint i = 0; i < count; i++)
-		if (clients[i].fd >= 0 && clients[i].rest->len)
+	for (guint i = 0; i < crowd->count; i++) {
+		const struct client *c = &crowd->clients[i];
+
+		if (c->ahead_left || (c->fd >= 0 && c->rest->len))
 			return true;
+	}
 	return false;
 }
 
 int main(int argc, char **argv)
 {
-	g_autofree struct client *clients = NULL;
-	struct sockaddr_in sa;
-	guint count, complete = 0;
+	struct crowd crowd = {0};
+	guint complete = 0;
 	bool told = false;
+	size_t bytes;
 
-	if (argc < 6 || !address_parse(argv[1], &sa, NULL)) {
+	if (argc < 6 || !address_parse(argv[1], &crowd.sa, NULL)) {
 		fprintf(stderr, "usage: crowd ADDRESS COUNT MODE BYTES PATH "
 				"[HEAD LINES...]\n");
 		return EXIT_FAILURE;
 	}
 	signal(SIGUSR1, on_usr1);
-	count = (guint)strtoul(argv[2], NULL, 10);
-	clients = g_new0(struct client, count);
-	for (guint i = 0; i < count; i++) {
-		clients[i].rest = make_request(
-			argv[3], strtoul(argv[4], NULL, 10), argv[5], argv + 6);
-		open_client(&clients[i], &sa, argv[3]);
+	crowd.count = (guint)strtoul(argv[2], NULL, 10);
+	crowd.mode = argv[3];
+	bytes = strtoul(argv[4], NULL, 10);
+	crowd.block = make_block(crowd.mode, argv[5], argv + 6);
+	crowd.clients = g_new0(struct client, crowd.count);
+	for (guint i = 0; i < crowd.count; i++) {
+		struct client *c = &crowd.clients[i];
+
+		c->rest = make_request(crowd.mode, bytes, argv[5], argv + 6);
+		c->ahead_left = is_ahead(crowd.mode) ? bytes : 0;
+		open_client(c, &crowd);
 	}
-	while (run_once(clients, count, argv[3]) || strcmp(argv[3], "unread")) {
-		if (!told && !has_rest(clients, count)) {
+	while (run_once(&crowd) || strcmp(crowd.mode, "unread")) {
+		if (!told && !has_rest(&crowd)) {
 			told = true;
 			puts("sent");
 			fflush(stdout);
 		}
 	}
-	for (guint i = 0; i < count; i++)
-		complete +=
-			!memcmp(clients[i].end, LAST_CHUNK, strlen(LAST_CHUNK));
+	for (guint i = 0; i < crowd.count; i++)
+		complete += !memcmp(crowd.clients[i].end, LAST_CHUNK,
+				    strlen(LAST_CHUNK));
 	printf("complete %u\n", complete);
 	return EXIT_SUCCESS;
 }
--- a/t/run-tests.sh
+++ b/t/run-tests.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Runs the unit test programs and end-to-end scripts given as arguments, several
-# at a time, prints a line for each, and at the end "N passed, N failed". Tests
+# at a time, and then one at a time the scripts that say "# Runs alone.". Prints a
+# line for each, and at the end "N passed, N failed". Tests
 # listed in KNOWN-RED.txt run too; their failures are printed but do not fail
 # the run. Its other entries, which need a bench, are printed as not run.
 set -u
@@ -24,7 +25,17 @@
 }
 export -f run_one
 
-printf '%s\n' "$@" | xargs -P "$PARALLEL_TESTS" -I{} bash -c 'run_one "$1"' run {}
+together=() alone=()
+for test in "$@"; do
+	if [[ $test = *.sh ]] && grep -qx '# Runs alone\.' "$test"; then
+		alone+=("$test")
+	else
+		together+=("$test")
+	fi
+done
+[ "${#together[@]}" -eq 0 ] || printf '%s\n' "${together[@]}" |
+	xargs -P "$PARALLEL_TESTS" -I{} bash -c 'run_one "$1"' run {}
+for test in "${alone[@]}"; do run_one "$test"; done
 
 passed=0 failed=0 known=0
 for test in "$@"; do
