http: don't read on while requests that were sent ahead wait

What callers saw: clients that send small requests one behind the other and read no answer ended a process; it ran out of memory.

Cause: on_read() stops to read once more than MAX_PIPELINED_BYTES wait behind a request, but finish_response() started to read again after each response, however much was left. A response uses up some 100 bytes of input, a read adds up to 64 KiB, so the input grew without end. Nothing asks the memory account about it in that phase.

Change: after a response the rest is parsed first; the connection is read from only if what waits then is within the bound (read_on()). The same function decides after each read, so the two places cannot differ any more. An incomplete head or body is always read on.

Ruled out: unsent responses. Each waits until the socket has taken it, and the next request is answered only then.

--- a/http/server.c
+++ b/http/server.c
@@ -147,6 +147,7 @@
 
 static void parse_input(struct conn *c);
 static void start_reading(struct conn *c);
+static void read_on(struct conn *c);
 
 static void body_append(struct body *b, const char *data, size_t len,
 			size_t size)
@@ -342,8 +343,9 @@
 	if (c->input->len)
 		begin_receiving(c);
 	arm_timer(c, c->http_server->limits.idle_ms);
-	start_reading(c);
 	parse_input(c);
+	if (c->phase != PHASE_CLOSED)
+		read_on(c);
 }
 
 static bool is_response_finished(const struct conn *c)
@@ -930,8 +932,7 @@
 	}
 	g_string_append_len(c->input, buf->base, n);
 	count_memory(c);
-	if (c->input->len > max_pipelined_bytes(c))
-		pause_reading(c);
+	read_on(c);
 }
 
 static void start_reading(struct conn *c)
@@ -941,6 +942,19 @@
 					   on_read) == 0;
 }
 
+/*
+ * Reads, unless as much as may wait behind a request does so already: a response
+ * uses up less input than a read adds.
+ */
+static void read_on(struct conn *c)
+{
+	if (c->phase == PHASE_RESPONSE &&
+	    c->input->len > max_pipelined_bytes(c))
+		pause_reading(c);
+	else
+		start_reading(c);
+}
+
 static struct conn *new_conn(struct http_server *http_server)
 {
 	struct conn *c = g_new0(struct conn, 1);
--- a/t/unit/http_server_test.cc
+++ b/t/unit/http_server_test.cc
@@ -361,6 +361,50 @@
 	EXPECT_EQ(s.requests.size(), 1u);
 }
 
+// Sends whole requests of 64 KiB in all, as often as the socket takes them at once.
+// Returns how many bytes it took.
+size_t send_ahead(TestClient *c, std::string *rest)
+{
+	size_t sent = 0;
+	ssize_t n;
+	do {
+		while (rest->size() < 65536)
+			rest->append(kRequest);
+		n = send(c->fd, rest->data(), rest->size(),
+			 MSG_NOSIGNAL | MSG_DONTWAIT);
+		if (n > 0) {
+			sent += (size_t)n;
+			rest->erase(0, (size_t)n);
+		}
+	} while (n > 0);
+	return sent;
+}
+
+// Guards against requests sent ahead that are read faster than they are answered.
+TEST(Ahead, InputThatWaitsIsBounded)
+{
+	const size_t limit = 64 << 20; // far from short
+	TestAccount a(limit);
+	TestServer s;
+	TestClient c;
+	std::string rest;
+	size_t most = 0, sent = 0;
+	a.limit(&s);
+	for (int i = 0; i < 500; i++) {
+		if (sent < 4000000)
+			sent += send_ahead(&c, &rest);
+		s.run_ms(1);
+		if (!s.requests.empty() && s.requests.back())
+			http_server_reply(s.requests.back(), 200, nullptr, "",
+					  0);
+		most = std::max(most, a.account.held);
+	}
+	EXPECT_GT(s.requests.size(), 100u);
+	EXPECT_LT(most, 1u << 20);
+	c.leave();
+	s.run_ms(500);
+}
+
 // Guards against an owner that is not told when it may write on.
 TEST(Backlog, OwnerIsToldWhenTheClientHasRead)
 {
