http: limit what the kernel holds unread for a client's connection

Cause: the kernel raises the receive buffer of a connection that is read from fast, up to tcp_rmem (32 MB on this machine), and the window with it. Once the node does not read any more, the client fills it: some 0.9 MB a connection here.

Change: connections of listeners that count memory get a receive buffer of a 64th of client_memory_mb, at least 64 KiB and at most 512 KiB, 480 KiB on the smallest machine. It is flow control: no request is refused by it. A largest body of 4 MiB takes some 10 round trips more than one window.

--- a/http/memory.c
+++ b/http/memory.c
@@ -14,6 +14,10 @@
 /* Descriptors that are kept for servers, the store, other nodes and files. */
 #define MIN_KEPT_DESCRIPTORS 32
 #define MAX_KEPT_DESCRIPTORS 1024
+/* The limit's share that the kernel may hold unread for one connection. */
+#define RECEIVE_BUFFER_DIVISOR 64
+#define MIN_RECEIVE_BUFFER_BYTES ((size_t)64 * 1024)
+#define MAX_RECEIVE_BUFFER_BYTES ((size_t)512 * 1024)
 
 /*
  * Returns how many bytes a process on a machine with so much memory may hold for
@@ -41,6 +45,16 @@
 	return (uint32_t)MIN(descriptors - kept, UINT32_MAX);
 }
 
+/*
+ * Returns how many received bytes the kernel may hold for one connection until they
+ * are read.
+ */
+size_t memory_receive_buffer(const struct memory_account *a)
+{
+	return CLAMP(a->limit / RECEIVE_BUFFER_DIVISOR,
+		     MIN_RECEIVE_BUFFER_BYTES, MAX_RECEIVE_BUFFER_BYTES);
+}
+
 /* Sets the limit; a quarter of it is kept for small holders. */
 void memory_set_limit(struct memory_account *a, size_t limit)
 {
--- a/http/memory.h
+++ b/http/memory.h
@@ -54,6 +54,7 @@
 		 uint32_t max_connections);
 void memory_clear(struct memory_account *a);
 void memory_set_limit(struct memory_account *a, size_t limit);
+size_t memory_receive_buffer(const struct memory_account *a);
 
 void memory_resize(struct memory_account *a, struct memory_holder *h,
 		   size_t bytes);
--- a/http/server.c
+++ b/http/server.c
@@ -1028,6 +1028,9 @@
 static void begin_conn(struct conn *c)
 {
 	socket_set_options(&c->tcp, USER_TIMEOUT_MS);
+	if (c->http_server->memory)
+		socket_limit_receive_buffer(
+			&c->tcp, memory_receive_buffer(c->http_server->memory));
 	c->held.client = socket_peer_address(&c->tcp);
 	count_memory(c);
 	if (!count_connection(c))
--- a/http/socket.c
+++ b/http/socket.c
@@ -1,5 +1,7 @@
 #include "http/socket.h"
 
+#include <glib.h>
+#include <limits.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -94,6 +96,20 @@
 		   sizeof(user_timeout_ms));
 }
 
+/*
+ * Limits what the kernel holds of received and unread bytes to about so many; it
+ * then does not raise the limit by itself any more. Linux doubles the value that it
+ * is given, for its own overhead. Errors are ignored.
+ */
+void socket_limit_receive_buffer(uv_tcp_t *tcp, size_t bytes)
+{
+	const int half = (int)MIN(bytes / 2, (size_t)INT_MAX);
+	uv_os_fd_t fd;
+
+	if (uv_fileno((uv_handle_t *)tcp, &fd) == 0)
+		setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &half, sizeof(half));
+}
+
 /*
  * Sets whether the connection is reset when its socket is closed, also if that is
  * because the process ends. Errors are ignored.
--- a/t/unit/http_server_test.cc
+++ b/t/unit/http_server_test.cc
@@ -4,6 +4,9 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <cstdio>
+#include <fstream>
+#include <netinet/tcp.h>
 #include <string>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -16,6 +19,7 @@
 namespace {
 
 const char *kAddress = "127.0.0.1:9787";
+const unsigned kPort = 9787;
 const uint64_t kReceiveMs = 2000;
 const size_t kMaxBodyBytes = 1 << 20;
 
@@ -82,6 +86,12 @@
 		ASSERT_EQ(send(fd, s.data(), s.size(), MSG_NOSIGNAL),
 			  (ssize_t)s.size());
 	}
+	void reset()
+	{
+		const linger now = {1, 0};
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+		leave();
+	}
 	void leave()
 	{
 		if (fd >= 0)
@@ -405,6 +415,49 @@
 	s.run_ms(500);
 }
 
+// Returns how many bytes the kernel holds unread for connections to the server.
+size_t unread_bytes()
+{
+	std::ifstream file("/proc/net/tcp");
+	std::string line;
+	size_t total = 0;
+	while (std::getline(file, line)) {
+		unsigned port, state, tx, rx;
+		if (sscanf(line.c_str(), " %*d: %*8x:%x %*8x:%*x %x %x:%x",
+			   &port, &state, &tx, &rx) == 4 &&
+		    port == kPort && state != TCP_LISTEN)
+			total += rx;
+	}
+	return total;
+}
+
+// Guards against a connection that fills the kernel's memory while it is not read
+// from: the window of one that has been read from fast grows to megabytes.
+TEST(Ahead, KernelHoldsNoMoreThanTheReceiveBuffer)
+{
+	TestAccount a(4 << 20);
+	TestServer s;
+	TestClient c;
+	std::string rest;
+	a.limit(&s);
+	c.send_bytes("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000"
+		     "\r\n\r\n");
+	for (size_t sent = 0; sent < 1000000; sent += 10000) {
+		c.send_bytes(std::string(10000, 'x'));
+		s.run_ms(1);
+	}
+	s.wait_for_requests(1);
+	ASSERT_EQ(s.requests.size(), 1u);
+	for (int i = 0; i < 300; i++) {
+		send_ahead(&c, &rest);
+		s.run_ms(1);
+	}
+	EXPECT_GT(unread_bytes(), 0u);
+	EXPECT_LT(unread_bytes(), 128u * 1024);
+	c.reset(); // an orderly end would lie behind what the window holds back
+	s.run_ms(500);
+}
+
 // Guards against an owner that is not told when it may write on.
 TEST(Backlog, OwnerIsToldWhenTheClientHasRead)
 {
--- a/t/unit/memory_test.cc
+++ b/t/unit/memory_test.cc
@@ -144,6 +144,20 @@
 	EXPECT_EQ(victim->client, 8u);
 }
 
+// Guards against unread bytes that exceed a small machine, and against a window
+// that slows down large bodies.
+TEST_F(Account, ReceiveBufferFollowsTheLimit)
+{
+	memory_set_limit(&a, kMb);
+	EXPECT_EQ(memory_receive_buffer(&a), 64 * kKb);
+	memory_set_limit(&a, 8 * kMb);
+	EXPECT_EQ(memory_receive_buffer(&a), 128 * kKb);
+	memory_set_limit(&a, 30 * kMb);
+	EXPECT_EQ(memory_receive_buffer(&a), 480 * kKb);
+	memory_set_limit(&a, 4096 * kMb);
+	EXPECT_EQ(memory_receive_buffer(&a), 512 * kKb);
+}
+
 // Guards against a full account that shuts out small requests as well.
 TEST_F(Account, SmallUseTheReserve)
 {
