http: count requests sent ahead, and drop them while memory is short

Each connection may have 256 KiB of requests behind the one in progress, and what the node does not read lies in the kernel; neither yielded to anybody.

Cause: the memory account evicts incomplete requests only. Input behind a request is no request to it, and unread bytes were not counted at all.

Change: the account knows how much of each connection is ahead (memory_set_ahead()); a connection that is not read from is asked each 200 ms what its socket holds. While more than half of the limit is held, what is ahead is dropped, of the client that holds most first (memory_next_ahead()). The connection then closes after the response in progress, which is sent whole; input is read and discarded with the smallest receive buffer, and after 8 MiB of it the connection is closed. Nothing of what is dropped has run, and no answer claims anything about it. A client that awaits each response never has anything ahead, so it does not meet this.

--- a/counters.h
+++ b/counters.h
@@ -47,6 +47,8 @@
 	  "requests sent to servers that count as cold")                       \
 	X(REFUSED_FOR_MEMORY, "refused_for_memory_total",                      \
 	  "incomplete requests refused for want of memory")                    \
+	X(AHEAD_DROPPED, "ahead_dropped_total",                                \
+	  "connections whose requests sent ahead were dropped")                \
 	X(CONNECTIONS_CLOSED, "connections_closed_total",                      \
 	  "connections of clients closed or refused beyond their limit")       \
 	X(STORE_CALLS, "store_calls_total", "calls to the object API")         \
--- a/http/memory.c
+++ b/http/memory.c
@@ -68,6 +68,7 @@
 {
 	*a = (struct memory_account) {.max_connections = max_connections};
 	g_queue_init(&a->receiving);
+	g_queue_init(&a->ahead);
 	a->clients = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					   NULL);
 	memory_set_limit(a, limit);
@@ -157,6 +158,25 @@
 	set_client_bytes(a, h->client, client_bytes(a, h->client) - h->bytes);
 }
 
+/*
+ * Sets how many bytes of what the holder has are requests that its client sent
+ * before it took the response to the one before; 0 before the holder is freed.
+ */
+void memory_set_ahead(struct memory_account *a, struct memory_holder *h,
+		      size_t bytes)
+{
+	if (bytes == h->ahead)
+		return;
+	set_client_bytes(a, h->client,
+			 client_bytes(a, h->client) - h->ahead + bytes);
+	h->ahead_link.data = h;
+	if (!h->ahead)
+		g_queue_push_tail_link(&a->ahead, &h->ahead_link);
+	else if (!bytes)
+		g_queue_unlink(&a->ahead, &h->ahead_link);
+	h->ahead = bytes;
+}
+
 static bool is_stalled(const struct memory_holder *h, uint64_t now)
 {
 	return now - h->progress_at >= STALL_MS;
@@ -254,6 +274,31 @@
 	return a->held > a->limit / 2;
 }
 
+/*
+ * Returns whose requests sent ahead are dropped next, or NULL if memory is not short
+ * or nobody has any: those of the client that holds most, and of these the most.
+ */
+struct memory_holder *memory_next_ahead(const struct memory_account *a)
+{
+	struct memory_holder *worst = NULL;
+	size_t worst_client = 0;
+
+	if (!memory_is_short(a))
+		return NULL;
+	for (GList *l = a->ahead.head; l; l = l->next) {
+		struct memory_holder *h = l->data;
+		size_t client = client_bytes(a, h->client);
+
+		if (worst &&
+		    (client < worst_client ||
+		     (client == worst_client && h->ahead <= worst->ahead)))
+			continue;
+		worst = h;
+		worst_client = client;
+	}
+	return worst;
+}
+
 /* Returns the most that was held since the last call. */
 size_t memory_take_peak(struct memory_account *a)
 {
--- a/http/memory.h
+++ b/http/memory.h
@@ -14,7 +14,8 @@
 
 /*
  * What one connection of a client holds. Only an incomplete request may be
- * evicted, never one that has been sent to a server, nor an answer.
+ * evicted, and requests that were sent ahead may be dropped; never one that has
+ * been sent to a server, nor an answer.
  */
 struct memory_holder {
 	GList link; /* in the account's list while a request is received */
@@ -23,6 +24,8 @@
 	bool receiving;
 	uint64_t progress_at; /* ms; when it last received enough */
 	size_t unrated; /* bytes received since then */
+	GList ahead_link; /* in the account's list while `ahead` is not 0 */
+	size_t ahead; /* of its bytes: requests behind the one in progress */
 	void *user;
 };
 
@@ -33,11 +36,14 @@
 	size_t held;
 	size_t peak; /* most held since memory_take_peak() */
 	GQueue receiving; /* struct memory_holder */
-	GHashTable *clients; /* client -> bytes of its incomplete requests */
+	GQueue ahead; /* struct memory_holder */
+	/* client -> bytes of its incomplete requests and those sent ahead */
+	GHashTable *clients;
 	uint32_t connections; /* of clients, open */
 	uint32_t max_connections;
 	uint64_t evicted; /* requests, while they were received */
 	uint64_t refused; /* requests that there was no room for */
+	uint64_t dropped; /* connections whose requests sent ahead were */
 	uint64_t closed; /* idle connections, to make room for new ones */
 	uint64_t turned_away; /* connections beyond the limit */
 };
@@ -62,6 +68,8 @@
 			    uint64_t now);
 void memory_on_received(struct memory_holder *h, uint64_t now, size_t n);
 void memory_end_receiving(struct memory_account *a, struct memory_holder *h);
+void memory_set_ahead(struct memory_account *a, struct memory_holder *h,
+		      size_t bytes);
 void memory_charge(struct memory_account *a, size_t bytes);
 void memory_discharge(struct memory_account *a, size_t bytes);
 
@@ -77,6 +85,7 @@
 bool memory_is_short(const struct memory_account *a);
 struct memory_holder *memory_next_victim(struct memory_account *a,
 					 uint64_t now);
+struct memory_holder *memory_next_ahead(const struct memory_account *a);
 size_t memory_take_peak(struct memory_account *a);
 
 #endif
--- a/http/server.c
+++ b/http/server.c
@@ -21,11 +21,12 @@
 /* How long a connection reads on after its last response; see linger(). */
 #define LINGER_MS 300
 /*
- * The same, and how much, after a request was refused for want of memory: a
- * client may write its whole body before it reads, 4 MiB at 10 Mbit/s.
+ * The same after a request was refused for want of memory: a client may write its
+ * whole body before it reads, 4 MiB at 10 Mbit/s.
  */
 #define LINGER_EVICTED_MS 4000
-#define LINGER_EVICTED_BYTES ((size_t)8 * 1024 * 1024)
+/* A connection that is to be closed and on which more arrives is closed at once. */
+#define MAX_DISCARDED_BYTES ((size_t)8 * 1024 * 1024)
 /*
  * A connection that waits for its client to take MIN_TAKEN_BYTES of a response
  * for so long is closed.
@@ -140,7 +141,8 @@
 	bool counted; /* among the account's connections */
 	bool is_turned_away;
 	bool evicted;
-	size_t discarded_bytes; /* read in PHASE_LINGER */
+	size_t discarded_bytes; /* read since it is to be closed */
+	size_t unread_bytes; /* in the socket, as last seen while paused */
 	uint64_t write_started_at; /* ms */
 	size_t untaken_bytes; /* by the client, as last seen */
 };
@@ -186,10 +188,22 @@
 	*s = g_string_new(NULL);
 }
 
+/*
+ * Returns how many bytes of further requests wait behind the current one. Nothing is
+ * read between a response that the socket has accepted and its end here, so a client
+ * that awaits each response has none.
+ */
+static size_t ahead_bytes(const struct conn *c)
+{
+	if (c->phase != PHASE_RESPONSE)
+		return 0;
+	return (c->input->len ? c->input->allocated_len : 0) + c->unread_bytes;
+}
+
 /* Counts what the connection holds now. */
 static void count_memory(struct conn *c)
 {
-	size_t bytes = CONN_BYTES + c->input->allocated_len +
+	size_t bytes = CONN_BYTES + c->input->allocated_len + c->unread_bytes +
 		       c->output->allocated_len + c->in_flight->allocated_len;
 
 	if (!c->http_server->memory)
@@ -198,6 +212,7 @@
 		bytes += sizeof(*c->req) + c->req->fields_bytes +
 			 c->req->body.size + c->req->headers->allocated_len;
 	memory_resize(c->http_server->memory, &c->held, bytes);
+	memory_set_ahead(c->http_server->memory, &c->held, ahead_bytes(c));
 }
 
 /* Lets the account evict the connection's request while it is incomplete. */
@@ -215,6 +230,33 @@
 		memory_end_receiving(c->http_server->memory, &c->held);
 }
 
+static void clear_ahead(struct conn *c)
+{
+	if (c->http_server->memory)
+		memory_set_ahead(c->http_server->memory, &c->held, 0);
+}
+
+/*
+ * Drops the requests that clients have sent ahead while memory is short. Their
+ * connections close after the current response; until then input is discarded, so
+ * that none lies in the kernel.
+ */
+static void drop_ahead(struct memory_account *m)
+{
+	struct memory_holder *h;
+
+	while (m && (h = memory_next_ahead(m))) {
+		struct conn *c = h->user;
+
+		m->dropped++;
+		c->close_when_sent = true;
+		empty_buffer(&c->input);
+		socket_limit_receive_buffer(&c->tcp, 0);
+		start_reading(c);
+		count_memory(c);
+	}
+}
+
 /* Sets whether the connection may be closed to make room for another one. */
 static void set_idle(struct conn *c, bool idle)
 {
@@ -263,6 +305,7 @@
 	c->phase = PHASE_CLOSED;
 	c->req = NULL;
 	end_receiving(c);
+	clear_ahead(c);
 	set_idle(c, false);
 	if (c->counted)
 		c->http_server->memory->connections--;
@@ -515,6 +558,7 @@
 
 	if (!m || !bytes || c->http_server->role == HTTP_SERVER_OPERATORS)
 		return true;
+	drop_ahead(m);
 	for (;;) {
 		switch (whole ? memory_may_begin(m, &c->held, now, bytes,
 						 &victim)
@@ -535,13 +579,15 @@
 }
 
 /*
- * Evicts incomplete requests while more is held than the account allows, for
- * answers to others. Does nothing if there are none.
+ * Drops requests that were sent ahead while memory is short, and evicts incomplete
+ * requests while more is held than the account allows, for answers to others. Does
+ * nothing if there are none.
  */
 void http_server_relieve(struct memory_account *memory, uint64_t now)
 {
 	struct memory_holder *victim;
 
+	drop_ahead(memory);
 	while (memory_is_exceeded(memory) &&
 	       (victim = memory_next_victim(memory, now))) {
 		memory->evicted++;
@@ -549,12 +595,21 @@
 	}
 }
 
+/* Counts what lies in the socket of a connection that is not read from. */
+static void check_paused(struct conn *c)
+{
+	arm_timer(c, CLIENT_CHECK_MS);
+	c->unread_bytes = (size_t)MAX(socket_unread(&c->tcp), 0);
+	count_memory(c);
+	drop_ahead(c->http_server->memory);
+}
+
 /* Stops to read until the response has ended; see MAX_PIPELINED_BYTES. */
 static void pause_reading(struct conn *c)
 {
 	uv_read_stop((uv_stream_t *)&c->tcp);
 	c->reading = false;
-	arm_timer(c, CLIENT_CHECK_MS);
+	check_paused(c);
 }
 
 /*
@@ -588,7 +643,7 @@
 			 (!c->reading && socket_peer_has_closed(&c->tcp)))
 			close_conn(c);
 		else if (!c->reading)
-			arm_timer(c, CLIENT_CHECK_MS);
+			check_paused(c);
 		else if (c->writing)
 			arm_timer(c, TAKE_MS);
 		return;
@@ -737,6 +792,7 @@
 	if (!c->input->len)
 		empty_buffer(&c->input);
 	count_memory(c);
+	drop_ahead(c->http_server->memory);
 	uv_timer_stop(&c->timer);
 	c->http_server->request_cb(c->http_server->user, c->req);
 }
@@ -921,8 +977,7 @@
 	}
 	if (c->phase == PHASE_LINGER || c->close_when_sent) {
 		c->discarded_bytes += (size_t)n;
-		if (c->phase == PHASE_LINGER &&
-		    c->discarded_bytes > LINGER_EVICTED_BYTES)
+		if (c->discarded_bytes > MAX_DISCARDED_BYTES)
 			close_conn(c);
 		return;
 	}
@@ -932,11 +987,13 @@
 	}
 	g_string_append_len(c->input, buf->base, n);
 	count_memory(c);
+	drop_ahead(c->http_server->memory);
 	read_on(c);
 }
 
 static void start_reading(struct conn *c)
 {
+	c->unread_bytes = 0;
 	if (!c->reading)
 		c->reading = uv_read_start((uv_stream_t *)&c->tcp, on_alloc,
 					   on_read) == 0;
--- a/http/socket.c
+++ b/http/socket.c
@@ -71,6 +71,21 @@
 	return n;
 }
 
+/*
+ * Returns how many bytes the socket has received that were not read, or 0 if it
+ * cannot be queried.
+ */
+int socket_unread(const uv_tcp_t *tcp)
+{
+	int n = 0;
+	uv_os_fd_t fd;
+
+	if (uv_fileno((const uv_handle_t *)tcp, &fd) != 0 ||
+	    ioctl(fd, FIONREAD, &n) != 0)
+		return 0;
+	return n;
+}
+
 /*
  * Sets the options that all connections share: no delay of small writes
  * (TCP_NODELAY), keepalive probes that detect a silent peer, and a limit of
--- a/t/helper/crowd.c
+++ b/t/helper/crowd.c
@@ -6,8 +6,8 @@
  * body of BYTES bytes but for its end: at once, in small pieces, or in chunks.
  * With idle it sends nothing. With unread it sends a whole POST without a body
  * and reads nothing of the answer until SIGUSR1; then it reads to the end.
- * With ahead and ahead-post it sends GETs, or POSTs with bodies of AHEAD_BODY_BYTES,
- * one behind the other until it has sent BYTES bytes, and reads nothing; it connects
+ * With ahead, ahead-post and ahead-large it sends GETs, or POSTs with bodies of
+ * AHEAD_BODY_BYTES or AHEAD_LARGE_BYTES, one behind the other until it has sent BYTES bytes, and reads nothing; it connects
  * again if it is closed before.
  * "sent" is printed once no connection has anything left to send or all are
  * closed. At the end of unread, "complete N" tells how many answers ended with
@@ -35,6 +35,7 @@
 #define LAST_CHUNK "0\r\n\r\n"
 #define AHEAD_RECEIVE_BUFFER_BYTES 4096
 #define AHEAD_BODY_BYTES 1000
+#define AHEAD_LARGE_BYTES 60000
 #define AHEAD_BLOCK_BYTES 65536 /* sent at once, at least, in whole requests */
 
 struct client {
@@ -67,8 +68,11 @@
 
 static GString *make_block(const char *mode, const char *path, char **lines)
 {
-	bool post = !strcmp(mode, "ahead-post");
-	g_autofree char *body = g_strnfill(post ? AHEAD_BODY_BYTES : 0, 'x');
+	bool large = !strcmp(mode, "ahead-large");
+	size_t bytes = large			     ? AHEAD_LARGE_BYTES
+		       : !strcmp(mode, "ahead-post") ? AHEAD_BODY_BYTES
+						     : 0;
+	g_autofree char *body = g_strnfill(bytes, 'x');
 	g_autofree char *fields = g_strjoinv("\r\n", lines);
 	GString *s = g_string_new(NULL);
 
@@ -77,8 +81,7 @@
 			s,
 			"%s %s HTTP/1.1\r\n%s\r\nContent-Length: "
 			"%zu\r\n\r\n%s",
-			post ? "POST" : "GET", path, fields, strlen(body),
-			body);
+			bytes ? "POST" : "GET", path, fields, bytes, body);
 	return s;
 }
 
--- a/t/unit/http_server_test.cc
+++ b/t/unit/http_server_test.cc
@@ -458,6 +458,57 @@
 	s.run_ms(500);
 }
 
+// Guards against requests sent ahead that keep the room of others, and against the
+// loss of a response because more was sent behind its request.
+TEST(Ahead, IsDroppedWhileMemoryIsShortAndTheResponseIsSent)
+{
+	TestAccount a(1 << 20);
+	TestServer s;
+	TestClient ahead, other;
+	std::string answer;
+	char bytes[4096];
+	ssize_t n;
+	a.limit(&s);
+	ahead.send_bytes(kRequest);
+	s.wait_for_requests(1);
+	ahead.send_bytes(std::string(kRequest) + kRequest);
+	s.run_ms(5);
+	EXPECT_EQ(a.account.dropped, 0u);
+	send_part(&s, &other, kLargeBytes);
+	EXPECT_EQ(a.account.dropped, 1u);
+	ahead.send_bytes(kRequest);
+	s.run_ms(5);
+	http_server_reply(s.requests[0], 200, nullptr, "whole", 5);
+	s.run_ms(50);
+	while ((n = recv(ahead.fd, bytes, sizeof(bytes), MSG_DONTWAIT)) > 0)
+		answer.append(bytes, (size_t)n);
+	EXPECT_EQ(n, 0);
+	EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+	EXPECT_NE(answer.find("whole"), std::string::npos);
+	EXPECT_EQ(s.requests.size(), 2u); // its first, and the other client's
+}
+
+// A client whose response is complete sends its next request in time, though the
+// server may not have noticed that the response is sent.
+TEST(Ahead, NextRequestAfterAResponseIsNotDropped)
+{
+	TestAccount a(1 << 20);
+	TestServer s;
+	TestClient c, other;
+	char bytes[4096];
+	a.limit(&s);
+	c.send_bytes(kRequest);
+	s.wait_for_requests(1);
+	send_part(&s, &other, kLargeBytes); // memory is short from now on
+	ASSERT_EQ(s.requests.size(), 2u);
+	http_server_reply(s.requests[0], 200, nullptr, "whole", 5);
+	ASSERT_GT(recv(c.fd, bytes, sizeof(bytes), 0), 0);
+	c.send_bytes(kRequest);
+	s.wait_for_requests(3);
+	EXPECT_EQ(a.account.dropped, 0u);
+	EXPECT_EQ(s.requests.size(), 3u);
+}
+
 // Guards against an owner that is not told when it may write on.
 TEST(Backlog, OwnerIsToldWhenTheClientHasRead)
 {
--- a/t/unit/memory_test.cc
+++ b/t/unit/memory_test.cc
@@ -144,6 +144,30 @@
 	EXPECT_EQ(victim->client, 8u);
 }
 
+// Guards against requests sent ahead that take the room of others.
+TEST_F(Account, RequestsSentAheadAreDroppedWhileMemoryIsShort)
+{
+	memory_holder *single = add_kept(2 * kMb);
+	memory_holder *one = add_kept(kMb), *more = add_kept(2 * kMb);
+
+	single->client = 7;
+	one->client = more->client = 8;
+	memory_set_ahead(&a, single, 1800 * kKb);
+	memory_set_ahead(&a, one, 900 * kKb);
+	memory_set_ahead(&a, more, 1700 * kKb);
+	EXPECT_EQ(memory_next_ahead(&a), nullptr); // 5 of 16 MB are held
+	memory_holder *body = add(4 * kMb);
+	EXPECT_EQ(memory_next_ahead(&a), more); // that client has most
+	memory_set_ahead(&a, more, 0);
+	memory_resize(&a, more, kKb);
+	memory_resize(&a, body, 8 * kMb);
+	EXPECT_EQ(memory_next_ahead(&a), single);
+	memory_set_ahead(&a, single, 0);
+	EXPECT_EQ(memory_next_ahead(&a), one);
+	memory_set_ahead(&a, one, 0);
+	EXPECT_EQ(memory_next_ahead(&a), nullptr);
+}
+
 // Guards against unread bytes that exceed a small machine, and against a window
 // that slows down large bodies.
 TEST_F(Account, ReceiveBufferFollowsTheLimit)
