http: keep the kernel's receive buffers within the limit, all together

By calculation 3,075 connections could hold some 190 MB on one of 88 MB.

No sum bounded them.

Change: connections inherit a small receive buffer from the listener: half of client_memory_mb divided by the largest number of connections, 8 to 64 KiB. One on which a body is received gets that of before, a 64th of client_memory_mb, as long as all of these keep to the other half; else the first that receives nothing gives its own back (memory_widen()). If all receive, the next body comes through the small buffer; nothing is refused. The window is clamped with the buffer, since the kernel does not widen it again for a buffer that was set larger.

--- a/http/memory.c
+++ b/http/memory.c
@@ -14,10 +14,13 @@
 /* Descriptors that are kept for servers, the store, other nodes and files. */
 #define MIN_KEPT_DESCRIPTORS 32
 #define MAX_KEPT_DESCRIPTORS 1024
-/* The limit's share that the kernel may hold unread for one connection. */
-#define RECEIVE_BUFFER_DIVISOR 64
-#define MIN_RECEIVE_BUFFER_BYTES ((size_t)64 * 1024)
-#define MAX_RECEIVE_BUFFER_BYTES ((size_t)512 * 1024)
+/* The limit's share that the kernel may hold unread for a body's connection. */
+#define BODY_BUFFER_DIVISOR 64
+#define MIN_BODY_BUFFER_BYTES ((size_t)64 * 1024)
+#define MAX_BODY_BUFFER_BYTES ((size_t)512 * 1024)
+/* The same for each other connection. */
+#define MIN_IDLE_BUFFER_BYTES ((size_t)8 * 1024)
+#define MAX_IDLE_BUFFER_BYTES ((size_t)64 * 1024)
 
 /*
  * Returns how many bytes a process on a machine with so much memory may hold for
@@ -46,13 +49,20 @@
 }
 
 /*
- * Returns how many received bytes the kernel may hold for one connection until they
- * are read.
+ * Returns how many received bytes the kernel may hold for a connection that was not
+ * widened: all connections together keep to half of the limit.
  */
-size_t memory_receive_buffer(const struct memory_account *a)
+size_t memory_idle_receive_buffer(const struct memory_account *a)
 {
-	return CLAMP(a->limit / RECEIVE_BUFFER_DIVISOR,
-		     MIN_RECEIVE_BUFFER_BYTES, MAX_RECEIVE_BUFFER_BYTES);
+	return CLAMP(a->limit / 2 / MAX(a->max_connections, 1),
+		     MIN_IDLE_BUFFER_BYTES, MAX_IDLE_BUFFER_BYTES);
+}
+
+/* Returns how many received bytes the kernel may hold for a widened connection. */
+size_t memory_body_receive_buffer(const struct memory_account *a)
+{
+	return CLAMP(a->limit / BODY_BUFFER_DIVISOR, MIN_BODY_BUFFER_BYTES,
+		     MAX_BODY_BUFFER_BYTES);
 }
 
 /* Sets the limit; a quarter of it is kept for small holders. */
@@ -69,6 +79,7 @@
 	*a = (struct memory_account) {.max_connections = max_connections};
 	g_queue_init(&a->receiving);
 	g_queue_init(&a->ahead);
+	g_queue_init(&a->wide);
 	a->clients = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					   NULL);
 	memory_set_limit(a, limit);
@@ -177,6 +188,43 @@
 	h->ahead = bytes;
 }
 
+/* The holder has the receive buffer of an idle connection; ignored if it has. */
+void memory_narrow(struct memory_account *a, struct memory_holder *h)
+{
+	if (!h->wide)
+		return;
+	h->wide = false;
+	g_queue_unlink(&a->wide, &h->wide_link);
+}
+
+/*
+ * Decides whether a holder that begins to receive a body gets the receive buffer for
+ * it: all of these together keep to half of the limit. Sets *narrowed to the holder
+ * that has to give its own back, the first that receives nothing, or to NULL.
+ */
+bool memory_widen(struct memory_account *a, struct memory_holder *h,
+		  struct memory_holder **narrowed)
+{
+	size_t most = a->limit / 2 / memory_body_receive_buffer(a);
+	GList *l = a->wide.head;
+
+	*narrowed = NULL;
+	if (h->wide)
+		return true;
+	if (a->wide.length >= most) {
+		while (l && ((struct memory_holder *)l->data)->receiving)
+			l = l->next;
+		if (!l)
+			return false;
+		*narrowed = l->data;
+		memory_narrow(a, *narrowed);
+	}
+	h->wide = true;
+	h->wide_link.data = h;
+	g_queue_push_tail_link(&a->wide, &h->wide_link);
+	return true;
+}
+
 static bool is_stalled(const struct memory_holder *h, uint64_t now)
 {
 	return now - h->progress_at >= STALL_MS;
--- a/http/memory.h
+++ b/http/memory.h
@@ -26,6 +26,8 @@
 	size_t unrated; /* bytes received since then */
 	GList ahead_link; /* in the account's list while `ahead` is not 0 */
 	size_t ahead; /* of its bytes: requests behind the one in progress */
+	GList wide_link; /* in the account's list while `wide` */
+	bool wide; /* its receive buffer is that for bodies */
 	void *user;
 };
 
@@ -37,6 +39,7 @@
 	size_t peak; /* most held since memory_take_peak() */
 	GQueue receiving; /* struct memory_holder */
 	GQueue ahead; /* struct memory_holder */
+	GQueue wide; /* struct memory_holder, in the order of their widening */
 	/* client -> bytes of its incomplete requests and those sent ahead */
 	GHashTable *clients;
 	uint32_t connections; /* of clients, open */
@@ -60,7 +63,11 @@
 		 uint32_t max_connections);
 void memory_clear(struct memory_account *a);
 void memory_set_limit(struct memory_account *a, size_t limit);
-size_t memory_receive_buffer(const struct memory_account *a);
+size_t memory_idle_receive_buffer(const struct memory_account *a);
+size_t memory_body_receive_buffer(const struct memory_account *a);
+bool memory_widen(struct memory_account *a, struct memory_holder *h,
+		  struct memory_holder **narrowed);
+void memory_narrow(struct memory_account *a, struct memory_holder *h);
 
 void memory_resize(struct memory_account *a, struct memory_holder *h,
 		   size_t bytes);
--- a/http/server.c
+++ b/http/server.c
@@ -230,10 +230,35 @@
 		memory_end_receiving(c->http_server->memory, &c->held);
 }
 
-static void clear_ahead(struct conn *c)
+/* Takes back what the connection has of the account besides its bytes. */
+static void leave_account(struct conn *c)
 {
-	if (c->http_server->memory)
-		memory_set_ahead(c->http_server->memory, &c->held, 0);
+	struct memory_account *m = c->http_server->memory;
+
+	if (!m)
+		return;
+	memory_set_ahead(m, &c->held, 0);
+	memory_narrow(m, &c->held);
+}
+
+/*
+ * Lets the client send at the rate of a body. Another connection may
+ * have to give up its buffer for it.
+ */
+static void widen(struct conn *c)
+{
+	struct memory_account *m = c->http_server->memory;
+	struct memory_holder *narrowed;
+
+	if (!m || c->held.wide)
+		return;
+	if (memory_widen(m, &c->held, &narrowed))
+		socket_limit_receive_buffer(&c->tcp,
+					    memory_body_receive_buffer(m));
+	if (narrowed)
+		socket_limit_receive_buffer(
+			&((struct conn *)narrowed->user)->tcp,
+			memory_idle_receive_buffer(m));
 }
 
 /*
@@ -251,6 +276,7 @@
 		m->dropped++;
 		c->close_when_sent = true;
 		empty_buffer(&c->input);
+		memory_narrow(m, &c->held);
 		socket_limit_receive_buffer(&c->tcp, 0);
 		start_reading(c);
 		count_memory(c);
@@ -305,7 +331,7 @@
 	c->phase = PHASE_CLOSED;
 	c->req = NULL;
 	end_receiving(c);
-	clear_ahead(c);
+	leave_account(c);
 	set_idle(c, false);
 	if (c->counted)
 		c->http_server->memory->connections--;
@@ -837,6 +863,8 @@
 		flush(c);
 	}
 	c->phase = PHASE_BODY;
+	if (!c->message_done)
+		widen(c);
 	return true;
 }
 
@@ -1087,7 +1115,8 @@
 	socket_set_options(&c->tcp, USER_TIMEOUT_MS);
 	if (c->http_server->memory)
 		socket_limit_receive_buffer(
-			&c->tcp, memory_receive_buffer(c->http_server->memory));
+			&c->tcp,
+			memory_idle_receive_buffer(c->http_server->memory));
 	c->held.client = socket_peer_address(&c->tcp);
 	count_memory(c);
 	if (!count_connection(c))
@@ -1185,7 +1214,8 @@
 /*
  * Counts what clients hold in the account, and evicts incomplete requests that
  * there is no room for; cb may be NULL or add header fields to the refusal. To
- * be called before the loop runs.
+ * be called before the loop runs. Connections inherit the receive buffer that is set
+ * here, since clients send before they are accepted.
  */
 void http_server_set_memory(struct http_server *http_server,
 			    struct memory_account *memory,
@@ -1194,6 +1224,8 @@
 	http_server->memory = memory;
 	http_server->role = role;
 	http_server->evict_cb = cb;
+	socket_limit_receive_buffer(&http_server->listener,
+				    memory_idle_receive_buffer(memory));
 }
 
 /*
--- a/http/socket.c
+++ b/http/socket.c
@@ -112,17 +112,22 @@
 }
 
 /*
- * Limits what the kernel holds of received and unread bytes to about so many; it
+ * Limits what the kernel holds of received and unread bytes to about so many, of the
+ * connection or of those that are accepted later at a listening socket; the kernel
  * then does not raise the limit by itself any more. Linux doubles the value that it
- * is given, for its own overhead. Errors are ignored.
+ * is given, for its own overhead, and does not widen the window with a larger buffer.
+ * Errors are ignored.
  */
 void socket_limit_receive_buffer(uv_tcp_t *tcp, size_t bytes)
 {
-	const int half = (int)MIN(bytes / 2, (size_t)INT_MAX);
+	const int window = (int)MIN(bytes, (size_t)INT_MAX);
+	const int half = window / 2;
 	uv_os_fd_t fd;
 
-	if (uv_fileno((uv_handle_t *)tcp, &fd) == 0)
-		setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &half, sizeof(half));
+	if (uv_fileno((uv_handle_t *)tcp, &fd) != 0)
+		return;
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &half, sizeof(half));
+	setsockopt(fd, IPPROTO_TCP, TCP_WINDOW_CLAMP, &window, sizeof(window));
 }
 
 /*
--- a/t/unit/http_server_test.cc
+++ b/t/unit/http_server_test.cc
@@ -458,6 +458,24 @@
 	s.run_ms(500);
 }
 
+// Guards against new connections that fill the kernel before they are read from.
+TEST(Ahead, KernelHoldsLittleForANewConnection)
+{
+	TestAccount a(1 << 20);
+	TestServer s;
+	std::string rest;
+	a.limit(&s);
+	TestClient c;
+	for (int i = 0; i < 50; i++) {
+		send_ahead(&c, &rest);
+		usleep(1000); // the loop does not run
+	}
+	EXPECT_GT(unread_bytes(), 0u);
+	EXPECT_LT(unread_bytes(), 16u * 1024);
+	c.reset();
+	s.run_ms(50);
+}
+
 // Guards against requests sent ahead that keep the room of others, and against the
 // loss of a response because more was sent behind its request.
 TEST(Ahead, IsDroppedWhileMemoryIsShortAndTheResponseIsSent)
--- a/t/unit/memory_test.cc
+++ b/t/unit/memory_test.cc
@@ -170,16 +170,50 @@
 
 // Guards against unread bytes that exceed a small machine, and against a window
 // that slows down large bodies.
-TEST_F(Account, ReceiveBufferFollowsTheLimit)
+TEST_F(Account, ReceiveBuffersFollowTheLimit)
 {
 	memory_set_limit(&a, kMb);
-	EXPECT_EQ(memory_receive_buffer(&a), 64 * kKb);
+	EXPECT_EQ(memory_body_receive_buffer(&a), 64 * kKb);
 	memory_set_limit(&a, 8 * kMb);
-	EXPECT_EQ(memory_receive_buffer(&a), 128 * kKb);
+	EXPECT_EQ(memory_body_receive_buffer(&a), 128 * kKb);
 	memory_set_limit(&a, 30 * kMb);
-	EXPECT_EQ(memory_receive_buffer(&a), 480 * kKb);
+	EXPECT_EQ(memory_body_receive_buffer(&a), 480 * kKb);
 	memory_set_limit(&a, 4096 * kMb);
-	EXPECT_EQ(memory_receive_buffer(&a), 512 * kKb);
+	EXPECT_EQ(memory_body_receive_buffer(&a), 512 * kKb);
+	a.max_connections = 0;
+	EXPECT_EQ(memory_idle_receive_buffer(&a), 64 * kKb);
+	memory_set_limit(&a, 16 * kMb);
+	a.max_connections = 512;
+	EXPECT_EQ(memory_idle_receive_buffer(&a), 16 * kKb);
+	a.max_connections = 100000;
+	EXPECT_EQ(memory_idle_receive_buffer(&a), 8 * kKb);
+}
+
+// Guards against many connections that each sent a body once and then fill their
+// receive buffers.
+TEST_F(Account, WideBuffersKeepToHalfOfTheLimit)
+{
+	const size_t most = 8 * kMb / memory_body_receive_buffer(&a);
+	memory_holder *narrowed;
+
+	for (size_t i = 0; i < most; i++) {
+		EXPECT_TRUE(memory_widen(&a, add(kKb), &narrowed));
+		EXPECT_EQ(narrowed, nullptr);
+	}
+	memory_holder *next = add(kKb);
+	EXPECT_FALSE(memory_widen(&a, next, &narrowed)); // all receive bodies
+	EXPECT_FALSE(next->wide);
+	memory_end_receiving(&a, holders[3]);
+	memory_end_receiving(&a, holders[1]);
+	EXPECT_TRUE(memory_widen(&a, next, &narrowed));
+	EXPECT_EQ(narrowed, holders[1]); // it has had its own for longest
+	EXPECT_FALSE(narrowed->wide);
+	EXPECT_TRUE(memory_widen(&a, next, &narrowed)); // it has it
+	EXPECT_EQ(narrowed, nullptr);
+	EXPECT_EQ(a.wide.length, most);
+	for (auto *h : holders)
+		memory_narrow(&a, h);
+	EXPECT_EQ(a.wide.length, 0u);
 }
 
 // Guards against a full account that shuts out small requests as well.
