t0063 to t0068: take what they share from lib-crowd.sh

t0066 and t0067 were the same script but for their plays, and six scripts repeated settings, checks and start. Each check, crowd and bound is as before; t0065 to t0068 also ask for an order afterwards. Comments of http/ that read badly are reworded.

--- a/http/memory.h
+++ b/http/memory.h
@@ -39,7 +39,7 @@
 	size_t peak; /* most held since memory_take_peak() */
 	GQueue receiving; /* struct memory_holder */
 	GQueue ahead; /* struct memory_holder */
-	GQueue wide; /* struct memory_holder, in the order of their widening */
+	GQueue wide; /* struct memory_holder, the one widened first in front */
 	/* client -> bytes of its incomplete requests and those sent ahead */
 	GHashTable *clients;
 	uint32_t connections; /* of clients, open */
--- a/http/server.c
+++ b/http/server.c
@@ -242,8 +242,8 @@
 }
 
 /*
- * Lets the client send at the rate of a body. Another connection may
- * have to give up its buffer for it.
+ * Lets the client send at the rate of a body. Another connection may have to give up
+ * its buffer for that.
  */
 static void widen(struct conn *c)
 {
--- a/http/socket.c
+++ b/http/socket.c
@@ -113,7 +113,8 @@
 
 /*
  * Limits what the kernel holds of written bytes that the peer has not acknowledged to
- * about so many; the same holds as for the receive buffer.
+ * about so many. The kernel then does not raise the limit by itself any more; it
+ * doubles the value that it is given, for its own overhead. Errors are ignored.
  */
 void socket_limit_send_buffer(uv_tcp_t *tcp, size_t bytes)
 {
--- a/t/lib-crowd.sh
+++ b/t/lib-crowd.sh
@@ -1,8 +1,14 @@
 # Measures a node while a crowd of clients (t/helper/crowd.c) is at it. Source
-# t/lib.sh and t/lib-routes.sh first. A test sets MACHINE_MB, CLIENT_MEMORY_MB and
-# MAX_OPEN, and names the node's process and listener in each call.
+# t/lib.sh and t/lib-routes.sh first. A test sets CLIENTS and BYTES, what each of them
+# sends, and names the node's process and listener in each call.
 
+MACHINE_MB=48
+CLIENT_MEMORY_MB=8
 bad=0
+# memory_keys: the settings of such a machine.
+memory_keys() { echo "\"memory_mb\": $MACHINE_MB, \"client_memory_mb\": $CLIENT_MEMORY_MB"; }
+# max_open: descriptors: one a client, one for its request, the node's own.
+max_open() { echo $((2 * CLIENTS + 40)); }
 report() { # WHAT VALUE BOUND
 	say "  $1: $2, at most $3"
 	[ "$2" -le "$3" ] || { say "FAIL: $1: $2, at most $3"; bad=1; }
@@ -60,7 +66,43 @@
 
 # report_crowd: checks what watch_crowd has measured.
 report_crowd() {
+	say "  peak kB, unread in the kernel: $most_unread_kb"
 	report "peak kB, resident and unread in the kernel" "$most_kb" $((MACHINE_MB * 1024))
-	report "peak kB, unread in the kernel" "$most_unread_kb" $((CLIENT_MEMORY_MB * 1024))
-	report "open descriptors" "$most_open" "$MAX_OPEN"
+	report "open descriptors" "$most_open" "$(max_open)"
+}
+# report_unread: checks that what lay in the kernel alone keeps to client_memory_mb.
+report_unread() { report "peak kB, unread in the kernel" "$most_unread_kb" $((CLIENT_MEMORY_MB * 1024)); }
+
+# send_is_served N METHOD PATH [CURL ARGUMENTS]
+send_is_served() { [ "$(send "$@")" = 200 ]; }
+# expect_served N WHAT: whether node N serves a read and an order.
+expect_served() {
+	until_true 10 send_is_served "$1" GET /read/ok || { say "FAIL: $2: no request is served afterwards"; bad=1; }
+	until_true 10 send_is_served "$1" POST /order/ok -d x || { say "FAIL: $2: no order is served afterwards"; bad=1; }
+}
+
+# start_crowd_backends: the object API, four backend servers and a configuration.
+start_crowd_backends() {
+	local n
+	start_objects
+	for n in 1 2 3 4; do start_backend "$n" desk; done
+	MAX_BODY=100000 HEADER_MS=20000 configure 3
+}
+
+# play_crowd WHAT N ADDRESS MODE PATH [HEAD LINES...]: a crowd at a fresh node N.
+play_crowd() {
+	local what=$1 n=$2 address=$3 mode=$4 path=$5
+	shift 5
+	say "$what"
+	start_route_node "$n" "$(memory_keys)"
+	wait_route_ready "$n"
+	check "$what: a request in calm" 200 "$(send "$n" GET /read/ok)"
+	start_crowd crowd "$address" "$CLIENTS" "$mode" "$BYTES" "$path" "${crowd_head[@]}" "$@"
+	watch_crowd crowd "route$n" "$address"
+	report_crowd
+	crash crowd
+	rm "$WORK/crowd.log"
+	expect_served "$n" "$what"
+	check_alive "route$n"
+	stop "route$n"
 }
--- a/t/t0064-requests-ahead-api.sh
+++ b/t/t0064-requests-ahead-api.sh
@@ -10,13 +10,10 @@
 . t/lib-routes.sh
 . t/lib-crowd.sh
 
-MACHINE_MB=48
-CLIENT_MEMORY_MB=8
 CLIENTS=40
 BYTES=4000000 # that each client sends
-MAX_OPEN=$((2 * CLIENTS + 40)) # descriptors: one a client, one for its request, the node's own
 KEY=etcheverry-tenders-key
-keys="\"memory_mb\": $MACHINE_MB, \"client_memory_mb\": $CLIENT_MEMORY_MB, \"rating_share\": 0"
+keys="$(memory_keys), \"rating_share\": 0"
 api_head=("Host: $HOST" "Authorization: Bearer $KEY")
 
 is_served() { [ "$(chat "$1" $KEY draft false)" = 200 ]; }
@@ -30,6 +27,7 @@
 	start_crowd crowd "$3" "$CLIENTS" "$4" "$BYTES" "$5" "${api_head[@]}"
 	watch_crowd crowd "node$2" "$3"
 	report_crowd
+	report_unread
 	crash crowd
 	rm "$WORK/crowd.log"
 	until_true 10 is_served "$2" || { say "FAIL: $1: no request is served afterwards"; bad=1; }
--- a/t/t0065-requests-ahead-changes.sh
+++ b/t/t0065-requests-ahead-changes.sh
@@ -9,15 +9,11 @@
 . t/lib-routes.sh
 . t/lib-crowd.sh
 
-MACHINE_MB=48
-CLIENT_MEMORY_MB=8
-ROOMY_MB=64 # client_memory_mb before it is lowered
+ROOMY_MB=64 # client_memory_mb before it is lowered, on a machine of ROOMY_MACHINE_MB
+ROOMY_MACHINE_MB=160
 CLIENTS=40
 BYTES=400000000 # that each client sends, unless it is killed
-MAX_OPEN=$((2 * CLIENTS + 40)) # descriptors: one a client, one for its request, the node's own
 
-keys() { echo "\"memory_mb\": $1, \"client_memory_mb\": $2"; }
-is_served() { [ "$(send "$1" "$2" "$3" "${@:4}")" = 200 ]; }
 # keeps_to_machine N: whether node N holds no more, in the kernel too, than it may.
 keeps_to_machine() {
 	local unread
@@ -27,28 +23,26 @@
 }
 has_exited() { ! kill -0 "${PIDS[$1]}" 2>/dev/null; }
 
-start_objects
-for n in 1 2 3 4; do start_backend "$n" desk; done
-MAX_BODY=100000 HEADER_MS=20000 configure 3
+start_crowd_backends
 
 say "a lowered limit"
-start_route_node 1 "$(keys 160 $ROOMY_MB)"
+start_route_node 1 "$(MACHINE_MB=$ROOMY_MACHINE_MB CLIENT_MEMORY_MB=$ROOMY_MB memory_keys)"
 wait_route_ready 1
 check "a request in calm" 200 "$(send 1 GET /read/ok)"
 start_crowd crowd "$(client_address 1)" "$CLIENTS" ahead "$BYTES" /none/x "${crowd_head[@]}"
 sleep 1
-write_route_settings 1 "$(keys $MACHINE_MB $CLIENT_MEMORY_MB)" >/dev/null
+write_route_settings 1 "$(memory_keys)" >/dev/null
 kill -HUP "${PIDS[route1]}"
 until_true 10 keeps_to_machine 1 ||
 	{ say "FAIL: resident $(resident_kb route1) kB, unread in the kernel $(unread_kb "$(client_address 1)") kB"; bad=1; }
 check_alive route1
 crash crowd
-until_true 10 is_served 1 GET /read/ok || { say "FAIL: no request is served afterwards"; bad=1; }
+expect_served 1 "a lowered limit"
 stop route1
 
 for path in /none/x /read/ok; do
 	say "a stop while requests at $path are sent ahead"
-	start_route_node 2 "$(keys $MACHINE_MB $CLIENT_MEMORY_MB)"
+	start_route_node 2 "$(memory_keys)"
 	wait_route_ready 2
 	check "a request in calm" 200 "$(send 2 GET /read/ok)"
 	start_crowd crowd "$(client_address 2)" "$CLIENTS" ahead "$BYTES" "$path" "${crowd_head[@]}"
@@ -60,7 +54,7 @@
 	unset "PIDS[route2]"
 	crash crowd
 done
-start_route_node 2 "$(keys $MACHINE_MB $CLIENT_MEMORY_MB)"
+start_route_node 2 "$(memory_keys)"
 wait_route_ready 2
 check "a request after the restart" 200 "$(send 2 GET /read/ok)"
 stop route2
--- a/t/t0068-unread-answers.sh
+++ b/t/t0068-unread-answers.sh
@@ -9,15 +9,10 @@
 . t/lib-routes.sh
 . t/lib-crowd.sh
 
-MACHINE_MB=48
-CLIENT_MEMORY_MB=8
 CLIENTS=16
-is_served() { [ "$(send "$1" "$2" "$3" "${@:4}")" = 200 ]; }
 
-start_objects
-for n in 1 2 3 4; do start_backend "$n" desk; done
-MAX_BODY=100000 HEADER_MS=20000 configure 3
-start_route_node 1 "\"memory_mb\": $MACHINE_MB, \"client_memory_mb\": $CLIENT_MEMORY_MB"
+start_crowd_backends
+start_route_node 1 "$(memory_keys)"
 wait_route_ready 1
 check "a request in calm" 200 "$(send 1 GET /read/ok)"
 start_crowd crowd "$(client_address 1)" "$CLIENTS" unread 1 /talk/stream-large "${crowd_head[@]}"
@@ -33,7 +28,7 @@
 [ "$most_unsent_kb" -gt 0 ] || { say "FAIL: no answer waits for its client"; bad=1; }
 report "peak kB, resident and unsent in the kernel" "$most_kb" $((MACHINE_MB * 1024))
 crash crowd
-until_true 10 is_served 1 GET /read/ok || { say "FAIL: no request is served afterwards"; bad=1; }
+expect_served 1 "unread answers"
 check_alive route1
 stop route1
 [ "$bad" = 0 ] && say "unread answers: passed"
