t0069: clients that go on asking and take no answer

What callers would see: a node that is killed for want of memory. A client that sends one small request after the other and reads nothing leaves its answers in the kernel, up to a send buffer each: 128 KiB at the test's 8 MB, 480 KiB at 30 MB. These are not counted, and no sum bounds them; little of such a client waits in the node, so that nothing of it is dropped.

--- a/t/helper/crowd.c
+++ b/t/helper/crowd.c
@@ -7,8 +7,9 @@
  * With idle it sends nothing. With unread it sends a whole POST without a body
  * and reads nothing of the answer until SIGUSR1; then it reads to the end.
  * With ahead, ahead-post and ahead-large it sends GETs, or POSTs with bodies of
- * AHEAD_BODY_BYTES or AHEAD_LARGE_BYTES, one behind the other until it has sent BYTES bytes, and reads nothing; it connects
- * again if it is closed before.
+ * AHEAD_BODY_BYTES or AHEAD_LARGE_BYTES, one behind the other until it has sent BYTES
+ * bytes, and reads nothing; it connects again if it is closed before. With ahead-paced
+ * it sends GETs one at a time, AHEAD_PACE_US or more between them.
  * "sent" is printed once no connection has anything left to send or all are
  * closed. At the end of unread, "complete N" tells how many answers ended with
  * an empty chunk. The process stays until it is killed, except after unread.
@@ -37,6 +38,7 @@
 #define AHEAD_BODY_BYTES 1000
 #define AHEAD_LARGE_BYTES 60000
 #define AHEAD_BLOCK_BYTES 65536 /* sent at once, at least, in whole requests */
+#define AHEAD_PACE_US 10000
 
 struct client {
 	int fd; /* -1: closed */
@@ -66,6 +68,11 @@
 	return g_str_has_prefix(mode, "ahead");
 }
 
+static bool is_paced(const char *mode)
+{
+	return !strcmp(mode, "ahead-paced");
+}
+
 static GString *make_block(const char *mode, const char *path, char **lines)
 {
 	bool large = !strcmp(mode, "ahead-large");
@@ -76,12 +83,13 @@
 	g_autofree char *fields = g_strjoinv("\r\n", lines);
 	GString *s = g_string_new(NULL);
 
-	while (s->len < AHEAD_BLOCK_BYTES)
+	do {
 		g_string_append_printf(
 			s,
 			"%s %s HTTP/1.1\r\n%s\r\nContent-Length: "
 			"%zu\r\n\r\n%s",
 			bytes ? "POST" : "GET", path, fields, bytes, body);
+	} while (s->len < AHEAD_BLOCK_BYTES && !is_paced(mode));
 	return s;
 }
 
@@ -213,6 +221,8 @@
 	}
 	if (pieces)
 		usleep(PIECE_PAUSE_US);
+	if (is_paced(crowd->mode))
+		usleep(AHEAD_PACE_US);
 	return open;
 }
 
--- a/t/lib-crowd.sh
+++ b/t/lib-crowd.sh
@@ -47,15 +47,18 @@
 unread_kb() { queued_kb "$1" 2; }
 
 # watch_crowd NAME PROCESS ADDRESS: measures until the crowd has sent everything or
-# does not get on. Sets most_unread_kb, most_kb (resident and unread) and most_open.
+# does not get on. Sets most_unread_kb, most_unsent_kb, most_kb (resident and both) and
+# most_open.
 watch_crowd() {
-	local sample unread resident open
-	most_unread_kb=0 most_kb=0 most_open=0
+	local sample unread unsent resident open
+	most_unread_kb=0 most_unsent_kb=0 most_kb=0 most_open=0
 	for ((sample = 0; sample < 100; sample++)); do
 		check_alive "$2"
-		unread=$(unread_kb "$3") resident=$(resident_kb "$2") open=$(open_descriptors "$2")
+		unread=$(unread_kb "$3") unsent=$(unsent_kb "$3")
+		resident=$(resident_kb "$2") open=$(open_descriptors "$2")
 		most_unread_kb=$((unread > most_unread_kb ? unread : most_unread_kb))
-		most_kb=$((resident + unread > most_kb ? resident + unread : most_kb))
+		most_unsent_kb=$((unsent > most_unsent_kb ? unsent : most_unsent_kb))
+		most_kb=$((resident + unread + unsent > most_kb ? resident + unread + unsent : most_kb))
 		most_open=$((open > most_open ? open : most_open))
 		has_sent "$1" && break
 		sleep 0.1
@@ -66,8 +69,8 @@
 
 # report_crowd: checks what watch_crowd has measured.
 report_crowd() {
-	say "  peak kB, unread in the kernel: $most_unread_kb"
-	report "peak kB, resident and unread in the kernel" "$most_kb" $((MACHINE_MB * 1024))
+	say "  peak kB, unread and unsent in the kernel: $most_unread_kb, $most_unsent_kb"
+	report "peak kB, resident and in the kernel" "$most_kb" $((MACHINE_MB * 1024))
 	report "open descriptors" "$most_open" "$(max_open)"
 }
 # report_unread: checks that what lay in the kernel alone keeps to client_memory_mb.
