http: limit what the kernel holds of all clients' unsent responses together

Each connection could leave a send buffer full in the kernel, 128 KiB at the test's limit and 480 KiB on a machine of 88 MB; 3,075 connections are 1.4 GB there, by calculation. What a connection left behind as it closed was delivered by the kernel for as long as its client liked, and belonged to nobody.

Cause: only the buffer of one connection was bounded. The sum was neither counted nor limited, and requests that a node can answer at once never wait in it, so that nothing was dropped.

Change: the account counts what the kernel holds of responses, from 2 KiB a connection on, as known from the query that each write makes already. Beyond a quarter of client_memory_mb a connection writes a small piece at a time, once its client has taken the one before; it looks each 20 ms. Writes are passed on in pieces of 64 KiB, so that each is counted before the next. A connection that would be closed while its client still takes a response stays until it is taken, and one that is not read from for 8 s is reset. Nothing is refused and no response is dropped that was not before, but a client that takes less than 1 KiB in 8 s of a response that has left the node loses the rest now.

Ruled out: small send buffers for all. The kernel adds up to 64 KB to the last segment whatever the buffer, so that 600 connections still fill the machine.

--- a/daemon/client-memory-task.c
+++ b/daemon/client-memory-task.c
@@ -23,7 +23,7 @@
 	struct counter_set *counters;
 	uv_timer_t timer;
 	/* As last reported. */
-	uint64_t evicted, refused, dropped, closed, turned_away;
+	uint64_t evicted, refused, dropped, delayed, closed, turned_away;
 	size_t peak; /* since the last trim */
 	bool trim_again; /* once more, for what was freed after a trim */
 };
@@ -71,20 +71,24 @@
 	uint64_t evicted = a->evicted - m->evicted;
 	uint64_t refused = a->refused - m->refused;
 	uint64_t dropped = a->dropped - m->dropped;
+	uint64_t delayed = a->delayed - m->delayed;
 
-	if (!evicted && !refused && !dropped)
+	if (!evicted && !refused && !dropped && !delayed)
 		return;
 	m->evicted = a->evicted;
 	m->refused = a->refused;
 	m->dropped = a->dropped;
+	m->delayed = a->delayed;
 	counter_add(m->counters, COUNTER_REFUSED_FOR_MEMORY, evicted + refused);
 	counter_add(m->counters, COUNTER_AHEAD_DROPPED, dropped);
 	log_event(LOG_EVENT_MEMORY_SHORT,
 		  "evicted=%" G_GUINT64_FORMAT " refused=%" G_GUINT64_FORMAT
-		  " dropped=%" G_GUINT64_FORMAT
-		  " held_kb=%zu peak_kb=%zu limit_kb=%zu incomplete=%u",
-		  evicted, refused, dropped, a->held / 1024, a->peak / 1024,
-		  a->limit / 1024, a->receiving.length);
+		  " dropped=%" G_GUINT64_FORMAT " delayed=%" G_GUINT64_FORMAT
+		  " held_kb=%zu peak_kb=%zu unsent_kb=%zu limit_kb=%zu"
+		  " incomplete=%u",
+		  evicted, refused, dropped, delayed, a->held / 1024,
+		  a->peak / 1024, a->unsent_bytes / 1024, a->limit / 1024,
+		  a->receiving.length);
 }
 
 static void report_connections(struct client_memory *m)
--- a/http/memory.c
+++ b/http/memory.c
@@ -21,6 +21,8 @@
 /* The same of received bytes for each other connection. */
 #define MIN_IDLE_BUFFER_BYTES ((size_t)8 * 1024)
 #define MAX_IDLE_BUFFER_BYTES ((size_t)64 * 1024)
+/* The limit's share that the kernel may hold of responses before writes are limited. */
+#define UNSENT_DIVISOR 4
 
 /*
  * Returns how many bytes a process on a machine with so much memory may hold for
@@ -94,6 +96,7 @@
 	g_queue_init(&a->receiving);
 	g_queue_init(&a->ahead);
 	g_queue_init(&a->wide);
+	g_queue_init(&a->unsent);
 	a->clients = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					   NULL);
 	memory_set_limit(a, limit);
@@ -202,6 +205,50 @@
 	h->ahead = bytes;
 }
 
+/*
+ * Sets how many bytes of what the holder has are responses that the kernel holds until
+ * the client takes them; 0 before the holder is freed. Less than
+ * MEMORY_MIN_UNSENT_BYTES are taken for 0.
+ */
+void memory_set_unsent(struct memory_account *a, struct memory_holder *h,
+		       size_t bytes)
+{
+	if (bytes < MEMORY_MIN_UNSENT_BYTES)
+		bytes = 0;
+	if (bytes == h->unsent)
+		return;
+	a->unsent_bytes = a->unsent_bytes - h->unsent + bytes;
+	h->unsent_link.data = h;
+	if (!h->unsent)
+		g_queue_push_tail_link(&a->unsent, &h->unsent_link);
+	else if (!bytes)
+		g_queue_unlink(&a->unsent, &h->unsent_link);
+	h->unsent = bytes;
+}
+
+/* Returns whether the kernel holds as much of responses as it may without a limit. */
+bool memory_is_send_limited(const struct memory_account *a)
+{
+	return a->unsent_bytes >= a->limit / UNSENT_DIVISOR;
+}
+
+/*
+ * Returns how many bytes of a response the connection may pass to the kernel. While the
+ * kernel holds much for all clients together, it is a small part at a time, once the
+ * client has taken what was passed before.
+ */
+size_t memory_may_send(const struct memory_account *a,
+		       const struct memory_holder *h)
+{
+	size_t share = a->limit / UNSENT_DIVISOR / MAX(a->max_connections, 1);
+
+	if (!memory_is_send_limited(a))
+		return SIZE_MAX;
+	return h->unsent ? 0
+			 : CLAMP(share, MEMORY_MIN_UNSENT_BYTES,
+				 MAX_IDLE_BUFFER_BYTES);
+}
+
 /* The holder has the receive buffer of an idle connection; ignored if it has. */
 void memory_narrow(struct memory_account *a, struct memory_holder *h)
 {
--- a/http/memory.h
+++ b/http/memory.h
@@ -12,6 +12,12 @@
  */
 #define MEMORY_SMALL_BYTES ((size_t)128 * 1024)
 
+/*
+ * Fewer bytes that the kernel holds of responses are not counted: an ordinary response
+ * that is on its way to its client.
+ */
+#define MEMORY_MIN_UNSENT_BYTES ((size_t)2 * 1024)
+
 /*
  * What one connection of a client holds. Only an incomplete request may be
  * evicted, and requests that were sent ahead may be dropped; never one that has
@@ -28,6 +34,8 @@
 	size_t ahead; /* of its bytes: requests behind the one in progress */
 	GList wide_link; /* in the account's list while `wide` */
 	bool wide; /* its receive buffer is that for bodies */
+	GList unsent_link; /* in the account's list while `unsent` is not 0 */
+	size_t unsent; /* of its bytes: responses that lie in the kernel */
 	void *user;
 };
 
@@ -40,6 +48,9 @@
 	GQueue receiving; /* struct memory_holder */
 	GQueue ahead; /* struct memory_holder */
 	GQueue wide; /* struct memory_holder, the one widened first in front */
+	GQueue unsent; /* struct memory_holder */
+	size_t unsent_bytes; /* of all of these */
+	uint64_t unsent_checked_at; /* ms; when all were last looked at */
 	/* client -> bytes of its incomplete requests and those sent ahead */
 	GHashTable *clients;
 	uint32_t connections; /* of clients, open */
@@ -47,6 +58,7 @@
 	uint64_t evicted; /* requests, while they were received */
 	uint64_t refused; /* requests that there was no room for */
 	uint64_t dropped; /* connections whose requests sent ahead were */
+	uint64_t delayed; /* writes, until their clients had taken more */
 	uint64_t closed; /* idle connections, to make room for new ones */
 	uint64_t turned_away; /* connections beyond the limit */
 };
@@ -78,6 +90,11 @@
 void memory_end_receiving(struct memory_account *a, struct memory_holder *h);
 void memory_set_ahead(struct memory_account *a, struct memory_holder *h,
 		      size_t bytes);
+void memory_set_unsent(struct memory_account *a, struct memory_holder *h,
+		       size_t bytes);
+bool memory_is_send_limited(const struct memory_account *a);
+size_t memory_may_send(const struct memory_account *a,
+		       const struct memory_holder *h);
 void memory_charge(struct memory_account *a, size_t bytes);
 void memory_discharge(struct memory_account *a, size_t bytes);
 
--- a/http/server.c
+++ b/http/server.c
@@ -33,6 +33,12 @@
  */
 #define TAKE_MS 8000
 #define MIN_TAKEN_BYTES 1024
+/* Most that is passed to the kernel at once, before it is counted. */
+#define MAX_WRITE_BYTES ((size_t)64 * 1024)
+/* How often a connection that may not write yet tries again. */
+#define SEND_RETRY_MS 20
+/* How often a connection is checked that closes once its client has taken all. */
+#define TAKEN_CHECK_MS 200
 /* Buffers with more are freed when they are empty; smaller ones are reused. */
 #define KEPT_BUFFER_BYTES 1024
 /* A body's buffer grows by this or a quarter, whichever is more. */
@@ -126,9 +132,12 @@
 	size_t scanned_bytes; /* of the input, by http_message_scan_head() */
 	struct http_server_request *req; /* NULL: none, or rejected */
 	GString *output; /* to be written after in_flight */
-	GString *in_flight; /* being written */
+	GString *in_flight; /* being written, a piece at a time */
+	size_t written; /* of in_flight */
+	size_t piece_bytes; /* of in_flight, being written behind `written` */
 	uv_write_t write;
-	bool writing;
+	bool writing; /* a piece */
+	bool send_waits; /* until its client has taken more; see may_send() */
 	bool reading;
 	bool message_done; /* the whole request has been parsed */
 	bool body_too_large;
@@ -143,7 +152,8 @@
 	bool evicted;
 	size_t discarded_bytes; /* read since it is to be closed */
 	size_t unread_bytes; /* in the socket, as last seen while paused */
-	uint64_t write_started_at; /* ms */
+	uint64_t
+		write_started_at; /* ms; or since when the client took enough */
 	size_t untaken_bytes; /* by the client, as last seen */
 };
 
@@ -204,7 +214,8 @@
 static void count_memory(struct conn *c)
 {
 	size_t bytes = CONN_BYTES + c->input->allocated_len + c->unread_bytes +
-		       c->output->allocated_len + c->in_flight->allocated_len;
+		       c->output->allocated_len + c->in_flight->allocated_len +
+		       c->held.unsent;
 
 	if (!c->http_server->memory)
 		return;
@@ -238,9 +249,66 @@
 	if (!m)
 		return;
 	memory_set_ahead(m, &c->held, 0);
+	memory_set_unsent(m, &c->held, 0);
 	memory_narrow(m, &c->held);
 }
 
+/*
+ * Counts what the kernel holds of responses for the connection, and returns how many
+ * bytes that are.
+ */
+static size_t look_at_unsent(struct conn *c)
+{
+	size_t bytes = (size_t)MAX(socket_unacknowledged(&c->tcp), 0);
+
+	if (c->http_server->memory)
+		memory_set_unsent(c->http_server->memory, &c->held, bytes);
+	return bytes;
+}
+
+/*
+ * Returns how many written bytes the client has not acknowledged: those that wait
+ * in the process and those that the kernel holds.
+ */
+static size_t untaken_bytes(struct conn *c)
+{
+	return uv_stream_get_write_queue_size((const uv_stream_t *)&c->tcp) +
+	       look_at_unsent(c);
+}
+
+/*
+ * Looks at all connections for which the kernel held responses when they were last
+ * looked at, if that decides whether others may send.
+ */
+static void look_at_all_unsent(struct memory_account *m, uint64_t now)
+{
+	GList *next;
+
+	if (!memory_is_send_limited(m) ||
+	    now - m->unsent_checked_at < SEND_RETRY_MS)
+		return;
+	m->unsent_checked_at = now;
+	for (GList *l = m->unsent.head; l; l = next) {
+		struct conn *c = ((struct memory_holder *)l->data)->user;
+
+		next = l->next;
+		look_at_unsent(c);
+		count_memory(c);
+	}
+}
+
+/* Returns how many bytes of the response may be passed to the kernel now. */
+static size_t may_send(struct conn *c)
+{
+	struct memory_account *m = c->http_server->memory;
+
+	if (!m || c->phase != PHASE_RESPONSE || !memory_is_send_limited(m))
+		return SIZE_MAX;
+	look_at_all_unsent(m, uv_now(c->http_server->loop));
+	look_at_unsent(c);
+	return memory_may_send(m, &c->held);
+}
+
 /*
  * Lets the client send at the rate of a body. Another connection may have to give up
  * its buffer for that.
@@ -375,6 +443,8 @@
 	empty_buffer(&c->input);
 	empty_buffer(&c->output);
 	empty_buffer(&c->in_flight);
+	c->write_started_at = uv_now(c->http_server->loop);
+	c->untaken_bytes = untaken_bytes(c);
 	count_memory(c);
 	set_idle(c, true);
 	socket_set_reset_on_close(&c->tcp, false);
@@ -384,6 +454,18 @@
 	arm_timer(c, c->evicted ? LINGER_EVICTED_MS : LINGER_MS);
 }
 
+/*
+ * Returns whether the kernel holds a part of the last response that the client still
+ * has to take. The kernel would go on to deliver it after the connection was closed,
+ * but no more as memory that is counted.
+ */
+static bool has_unsent(struct conn *c)
+{
+	look_at_unsent(c);
+	count_memory(c);
+	return c->held.unsent > 0;
+}
+
 /* Frees the request whose response was written; starts on the next one. */
 static void finish_response(struct conn *c)
 {
@@ -417,6 +499,11 @@
 		read_on(c);
 }
 
+static bool has_output(const struct conn *c)
+{
+	return c->in_flight->len || c->output->len;
+}
+
 static bool is_response_finished(const struct conn *c)
 {
 	return c->phase == PHASE_RESPONSE &&
@@ -434,9 +521,13 @@
 		close_conn(c);
 		return;
 	}
-	empty_buffer(&c->in_flight);
+	c->written += c->piece_bytes;
+	if (c->written == c->in_flight->len) {
+		c->written = 0;
+		empty_buffer(&c->in_flight);
+	}
 	count_memory(c);
-	if (!c->output->len && is_response_finished(c)) {
+	if (!has_output(c) && is_response_finished(c)) {
 		finish_response(c);
 		return;
 	}
@@ -452,7 +543,7 @@
 
 	if (c->write_failed)
 		close_conn(c);
-	else if (!c->writing && !c->output->len && is_response_finished(c))
+	else if (!has_output(c) && is_response_finished(c))
 		finish_response(c);
 }
 
@@ -465,19 +556,23 @@
 	uv_timer_start(&c->timer, on_deferred_end, 0, 0);
 }
 
-/*
- * Returns how many written bytes the client has not acknowledged: those that wait
- * in the process and those that the kernel holds, which may be megabytes.
- */
-static size_t untaken_bytes(const struct conn *c)
+/* Tries again later to write the output, which may not be passed to the kernel yet. */
+static void wait_to_send(struct conn *c)
 {
-	return uv_stream_get_write_queue_size((const uv_stream_t *)&c->tcp) +
-	       (size_t)MAX(socket_unacknowledged(&c->tcp), 0);
+	if (!c->send_waits) {
+		c->send_waits = true;
+		c->http_server->memory->delayed++;
+		c->write_started_at = uv_now(c->http_server->loop);
+		c->untaken_bytes = untaken_bytes(c);
+	}
+	count_memory(c);
+	arm_timer(c, SEND_RETRY_MS);
 }
 
 static void flush(struct conn *c)
 {
 	GString *swap;
+	size_t most;
 	uv_buf_t buf;
 
 	if (c->phase == PHASE_CLOSED)
@@ -486,20 +581,30 @@
 		count_memory(c);
 		return;
 	}
-	if (!c->output->len) {
+	if (!has_output(c)) {
 		if (is_response_finished(c))
 			defer_end(c);
 		return;
 	}
-	swap = c->in_flight;
-	c->in_flight = c->output;
-	c->output = swap;
-	g_string_truncate(c->output, 0);
-	buf = uv_buf_init(c->in_flight->str, (unsigned int)c->in_flight->len);
+	if (!c->in_flight->len) {
+		swap = c->in_flight;
+		c->in_flight = c->output;
+		c->output = swap;
+		g_string_truncate(c->output, 0);
+	}
+	most = may_send(c);
+	if (!most) {
+		wait_to_send(c);
+		return;
+	}
+	c->send_waits = false;
+	c->piece_bytes =
+		MIN(MIN(most, MAX_WRITE_BYTES), c->in_flight->len - c->written);
+	buf = uv_buf_init(c->in_flight->str + c->written,
+			  (unsigned int)c->piece_bytes);
 	c->write.data = c;
 	c->writing = true;
 	c->write_started_at = uv_now(c->http_server->loop);
-	c->untaken_bytes = untaken_bytes(c) + c->in_flight->len;
 	if (uv_write(&c->write, (uv_stream_t *)&c->tcp, &buf, 1, on_written)) {
 		c->writing = false;
 		c->write_failed = true;
@@ -507,6 +612,7 @@
 	} else if (!uv_is_active((uv_handle_t *)&c->timer)) {
 		arm_timer(c, TAKE_MS);
 	}
+	c->untaken_bytes = untaken_bytes(c);
 	count_memory(c);
 }
 
@@ -648,7 +754,8 @@
 	size_t before = c->untaken_bytes;
 	size_t left;
 
-	if (!c->writing || now - c->write_started_at < TAKE_MS)
+	if ((!c->in_flight->len && c->phase != PHASE_LINGER) ||
+	    now - c->write_started_at < TAKE_MS)
 		return false;
 	left = untaken_bytes(c);
 	c->write_started_at = now;
@@ -656,6 +763,23 @@
 	return left + MIN(MIN_TAKEN_BYTES, before) > before;
 }
 
+/* Closes a connection whose client does not take what the kernel holds for it. */
+static void reset_conn(struct conn *c)
+{
+	socket_set_reset_on_close(&c->tcp, true);
+	close_conn(c);
+}
+
+static void on_response_timeout(struct conn *c)
+{
+	if (!c->reading)
+		check_paused(c);
+	else if (c->writing)
+		arm_timer(c, TAKE_MS);
+	if (c->send_waits)
+		flush(c);
+}
+
 static void on_timeout(uv_timer_t *timer)
 {
 	struct conn *c = timer->data;
@@ -663,15 +787,25 @@
 	if (c->phase == PHASE_RESPONSE) {
 		/* Its own timer may have replaced that of a deferred end. */
 		if (c->write_failed ||
-		    (!c->writing && !c->output->len && is_response_finished(c)))
+		    (!has_output(c) && is_response_finished(c)))
 			on_deferred_end(timer);
-		else if (is_unread(c) ||
-			 (!c->reading && socket_peer_has_closed(&c->tcp)))
+		else if (is_unread(c))
+			reset_conn(c);
+		else if (!c->reading && socket_peer_has_closed(&c->tcp))
 			close_conn(c);
-		else if (!c->reading)
-			check_paused(c);
-		else if (c->writing)
-			arm_timer(c, TAKE_MS);
+		else
+			on_response_timeout(c);
+		return;
+	}
+	if (c->phase == PHASE_LINGER && has_unsent(c)) {
+		if (is_unread(c))
+			reset_conn(c);
+		else
+			arm_timer(c, TAKEN_CHECK_MS);
+		return;
+	}
+	if (c->phase == PHASE_HEAD && !c->input->len && has_unsent(c)) {
+		linger(c);
 		return;
 	}
 	if (c->phase == PHASE_BODY || (c->phase == PHASE_HEAD && c->input->len))
@@ -993,6 +1127,17 @@
 	return m && memory_is_short(m) ? 0 : MAX_PIPELINED_BYTES;
 }
 
+/* The client sends no more, or the connection failed; `n` is the error. */
+static void on_read_end(struct conn *c, ssize_t n)
+{
+	c->reading = false;
+	if (n == UV_EOF && c->phase == PHASE_HEAD && !c->input->len &&
+	    has_unsent(c))
+		linger(c);
+	else if (n != UV_EOF || c->phase != PHASE_LINGER || !has_unsent(c))
+		close_conn(c);
+}
+
 static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
 	struct conn *c = stream->data;
@@ -1000,13 +1145,13 @@
 	if (!n)
 		return;
 	if (n < 0) {
-		close_conn(c);
+		on_read_end(c, n);
 		return;
 	}
 	if (c->phase == PHASE_LINGER || c->close_when_sent) {
 		c->discarded_bytes += (size_t)n;
 		if (c->discarded_bytes > MAX_DISCARDED_BYTES)
-			close_conn(c);
+			reset_conn(c);
 		return;
 	}
 	if (c->phase != PHASE_RESPONSE) {
@@ -1061,7 +1206,7 @@
 
 /*
  * Returns the connection that may be closed for a new one, or NULL. A request
- * that lies in a socket is not read yet.
+ * that lies in a socket is not read yet, and a response there not taken.
  */
 static struct conn *longest_idle(struct http_server *s)
 {
@@ -1070,6 +1215,8 @@
 	for (int i = 0; l && i < MAX_IDLE_CHECKED; i++, l = l->next) {
 		struct conn *c = l->data;
 
+		if (c->held.unsent && has_unsent(c))
+			continue;
 		if (c->phase == PHASE_LINGER || !socket_has_input(&c->tcp))
 			return c;
 	}
@@ -1324,7 +1471,7 @@
 		const struct conn *c = conn;
 
 		n += c->phase != PHASE_CLOSED && c->phase != PHASE_LINGER &&
-		     (c->req || c->input->len || c->writing ||
+		     (c->req || c->input->len || c->in_flight->len ||
 		      awaits_first_request(c));
 	}
 	return n;
@@ -1573,7 +1720,7 @@
 {
 	const struct conn *c = req->conn;
 
-	return c->output->len + (c->writing ? c->in_flight->len : 0);
+	return c->output->len + c->in_flight->len - c->written;
 }
 
 /*
--- a/t/unit/http_server_test.cc
+++ b/t/unit/http_server_test.cc
@@ -6,6 +6,7 @@
 #include <arpa/inet.h>
 #include <cstdio>
 #include <fstream>
+#include <memory>
 #include <netinet/tcp.h>
 #include <string>
 #include <sys/socket.h>
@@ -68,10 +69,14 @@
 
 struct TestClient {
 	int fd;
-	TestClient()
+	// With a receive buffer of so many bytes; 0: that of the kernel.
+	explicit TestClient(int receive_buffer = 0)
 	{
 		sockaddr_in sa = {};
 		fd = socket(AF_INET, SOCK_STREAM, 0);
+		if (receive_buffer)
+			setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+				   sizeof(receive_buffer));
 		sa.sin_family = AF_INET;
 		sa.sin_port = htons(9787);
 		sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -415,22 +420,32 @@
 	s.run_ms(500);
 }
 
-// Returns how many bytes the kernel holds unread for connections to the server.
-size_t unread_bytes()
+// Returns how many bytes the kernel holds for connections to the server.
+struct KernelBytes {
+	size_t unsent, unread;
+};
+KernelBytes kernel_bytes()
 {
 	std::ifstream file("/proc/net/tcp");
 	std::string line;
-	size_t total = 0;
+	KernelBytes total = {};
 	while (std::getline(file, line)) {
 		unsigned port, state, tx, rx;
 		if (sscanf(line.c_str(), " %*d: %*8x:%x %*8x:%*x %x %x:%x",
 			   &port, &state, &tx, &rx) == 4 &&
-		    port == kPort && state != TCP_LISTEN)
-			total += rx;
+		    port == kPort && state != TCP_LISTEN) {
+			total.unsent += tx;
+			total.unread += rx;
+		}
 	}
 	return total;
 }
 
+size_t unread_bytes()
+{
+	return kernel_bytes().unread;
+}
+
 // Guards against a connection that fills the kernel's memory while it is not read
 // from: the window of one that has been read from fast grows to megabytes.
 TEST(Ahead, KernelHoldsNoMoreThanTheReceiveBuffer)
@@ -527,6 +542,93 @@
 	EXPECT_EQ(s.requests.size(), 3u);
 }
 
+// Reads until so many bytes have come, or none for 500 ms; returns how many did.
+size_t read_bytes(TestServer *s, TestClient *c, size_t most)
+{
+	std::vector<char> bytes(1 << 16);
+	size_t total = 0;
+	ssize_t n;
+	for (int idle = 0; idle < 500 && total < most;) {
+		n = recv(c->fd, bytes.data(), bytes.size(), MSG_DONTWAIT);
+		if (n == 0)
+			break;
+		if (n > 0)
+			total += (size_t)n;
+		idle = n > 0 ? 0 : idle + 1;
+		s->run_ms(1);
+	}
+	return total;
+}
+
+// Guards against one response that fills the kernel's memory.
+TEST(Unsent, KernelHoldsNoMoreThanTheSendBuffer)
+{
+	TestAccount a(64 << 20);
+	TestServer s;
+	TestClient c;
+	const std::string body(8 << 20, 'x');
+	a.limit(&s);
+	c.send_bytes(kRequest);
+	s.wait_for_requests(1);
+	http_server_reply(s.requests[0], 200, nullptr, body.data(),
+			  body.size());
+	s.run_ms(100);
+	EXPECT_GT(kernel_bytes().unsent, 0u);
+	EXPECT_LT(kernel_bytes().unsent, 1u << 20);
+	c.reset();
+	s.run_ms(500);
+}
+
+// Guards against many responses that together fill the kernel's memory, and against
+// their loss or delay without end when their clients take them after all.
+TEST(Unsent, ResponsesKeepToTheLimitTogetherAndArriveWhole)
+{
+	const size_t limit = 16 << 20;
+	const std::string body(250000, 'x');
+	TestAccount a(limit);
+	TestServer s;
+	std::vector<std::unique_ptr<TestClient>> clients(40);
+	a.limit(&s);
+	for (size_t i = 0; i < clients.size(); i++) {
+		clients[i] = std::make_unique<TestClient>(4096);
+		clients[i]->send_bytes(kRequest);
+		s.wait_for_requests(i + 1);
+		ASSERT_EQ(s.requests.size(), i + 1);
+		http_server_on_disconnect(s.requests[i], nullptr, nullptr);
+		http_server_reply(s.requests[i], 200, nullptr, body.data(),
+				  body.size());
+	}
+	s.run_ms(100);
+	EXPECT_GT(kernel_bytes().unsent, 0u);
+	EXPECT_LT(kernel_bytes().unsent, limit * 3 / 8);
+	for (auto &c : clients)
+		EXPECT_GE(read_bytes(&s, c.get(), body.size()), body.size());
+}
+
+// Guards against a connection that times out while its client still takes the
+// response: what the kernel goes on to deliver would be counted nowhere.
+TEST(Unsent, ResponseIsCountedUntilItIsTaken)
+{
+	const http_server_limits limits = {65536, kMaxBodyBytes, kReceiveMs,
+					   100};
+	TestAccount a(64 << 20);
+	TestServer s;
+	TestClient c;
+	const std::string body(400000, 'x');
+	a.limit(&s);
+	http_server_set_limits(s.server, &limits);
+	c.send_bytes(kRequest);
+	s.wait_for_requests(1);
+	http_server_reply(s.requests[0], 200, nullptr, body.data(),
+			  body.size());
+	s.run_ms(700);
+	EXPECT_EQ(http_server_open_requests(s.server), 0u);
+	EXPECT_GT(a.account.unsent_bytes, 0u);
+	EXPECT_GE(read_bytes(&s, &c, body.size()), body.size());
+	s.run_ms(400);
+	EXPECT_EQ(a.account.held, 0u);
+}
+
 // Guards against an owner that is not told when it may write on.
 TEST(Backlog, OwnerIsToldWhenTheClientHasRead)
 {
--- a/t/unit/memory_test.cc
+++ b/t/unit/memory_test.cc
@@ -216,6 +216,30 @@
 	EXPECT_EQ(a.wide.length, 0u);
 }
 
+// Guards against responses that fill the kernel's memory while nobody takes them, and
+// against a client that has to wait for others to take theirs.
+TEST_F(Account, WritesAreLimitedWhileTheKernelHoldsMuch)
+{
+	memory_holder *small = add(kKb), *large = add(kKb), *other = add(kKb);
+
+	memory_set_unsent(&a, small, 2 * kKb - 1);
+	EXPECT_EQ(a.unsent_bytes, 0u); // an ordinary response on its way
+	memory_set_unsent(&a, large, 4 * kMb - 1);
+	EXPECT_FALSE(memory_is_send_limited(&a));
+	EXPECT_GT(memory_may_send(&a, large), kMb);
+	memory_set_unsent(&a, small, 2 * kKb);
+	EXPECT_TRUE(memory_is_send_limited(&a));
+	EXPECT_EQ(memory_may_send(&a, large), 0u);
+	EXPECT_EQ(memory_may_send(&a, small), 0u);
+	EXPECT_GE(memory_may_send(&a, other), 2 * kKb);
+	EXPECT_LE(memory_may_send(&a, other), 64 * kKb);
+	memory_set_unsent(&a, large, 0);
+	EXPECT_FALSE(memory_is_send_limited(&a));
+	memory_set_unsent(&a, small, 0);
+	EXPECT_EQ(a.unsent_bytes, 0u);
+	EXPECT_EQ(a.unsent.length, 0u);
+}
+
 // Guards against a full account that shuts out small requests as well.
 TEST_F(Account, SmallUseTheReserve)
 {
