http: read on for clients whose requests sent ahead were dropped

What callers saw: a client that goes on sending after its response was complete was reset 300 ms later, and its write failed before it read the response. It may be one that writes all requests first, and reads then.

Cause: a connection whose request was evicted reads on for 4 s after the refusal, one whose requests sent ahead were dropped only as long as any that closes.

Change: both read on for 4 s. More than 8 MiB reset the connection, as before.

Evidence: Ahead.ResponseIsReadByAClientThatWasStillSending: its write failed on (-1, within 0.5 s); now it sends for 1 s, then reads the response.

--- a/http/server.c
+++ b/http/server.c
@@ -21,10 +21,10 @@
 /* How long a connection reads on after its last response; see linger(). */
 #define LINGER_MS 300
 /*
- * The same after a request was refused for want of memory: a client may write its
- * whole body before it reads, 4 MiB at 10 Mbit/s.
+ * The same after a request was refused, or requests sent ahead were dropped, for want
+ * of memory: a client may write its whole body before it reads, 4 MiB at 10 Mbit/s.
  */
-#define LINGER_EVICTED_MS 4000
+#define LINGER_SENDING_MS 4000
 /* A connection that is to be closed and on which more arrives is closed at once. */
 #define MAX_DISCARDED_BYTES ((size_t)8 * 1024 * 1024)
 /*
@@ -149,7 +149,7 @@
 	bool is_idle; /* it is in that list */
 	bool counted; /* among the account's connections */
 	bool is_turned_away;
-	bool evicted;
+	bool may_be_sending; /* its client, though its input is not wanted */
 	size_t discarded_bytes; /* read since it is to be closed */
 	size_t unread_bytes; /* in the socket, as last seen while paused */
 	uint64_t
@@ -343,6 +343,7 @@
 
 		m->dropped++;
 		c->close_when_sent = true;
+		c->may_be_sending = true;
 		empty_buffer(&c->input);
 		memory_narrow(m, &c->held);
 		socket_limit_receive_buffer(&c->tcp, 0);
@@ -451,7 +452,7 @@
 	if (uv_shutdown(req, (uv_stream_t *)&c->tcp, on_shutdown) != 0)
 		g_free(req);
 	start_reading(c);
-	arm_timer(c, c->evicted ? LINGER_EVICTED_MS : LINGER_MS);
+	arm_timer(c, c->may_be_sending ? LINGER_SENDING_MS : LINGER_MS);
 }
 
 /*
@@ -669,7 +670,7 @@
 	g_autofree char *after = g_strdup_printf("Retry-After: %u.%02u\r\n",
 						 ms / 1000, ms % 1000 / 10);
 
-	c->evicted = true;
+	c->may_be_sending = true;
 	if (!c->req)
 		c->req = new_request(c);
 	else if (s->evict_cb)
--- a/t/unit/http_server_test.cc
+++ b/t/unit/http_server_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <arpa/inet.h>
 #include <cstdio>
+#include <cstring>
 #include <fstream>
 #include <memory>
 #include <netinet/tcp.h>
@@ -521,6 +522,32 @@
 	EXPECT_EQ(s.requests.size(), 2u); // its first, and the other client's
 }
 
+// Guards against a response that its client cannot read, since it was still sending
+// when the connection was closed.
+TEST(Ahead, ResponseIsReadByAClientThatWasStillSending)
+{
+	TestAccount a(1 << 20);
+	TestServer s;
+	TestClient ahead, other;
+	const std::string request = kRequest;
+	char bytes[4096];
+	a.limit(&s);
+	ahead.send_bytes(request);
+	s.wait_for_requests(1);
+	ahead.send_bytes(request);
+	send_part(&s, &other, kLargeBytes); // memory is short from now on
+	ASSERT_EQ(a.account.dropped, 1u);
+	http_server_reply(s.requests[0], 200, nullptr, "whole", 5);
+	for (int i = 0; i < 50; i++) {
+		s.run_ms(20);
+		ASSERT_EQ(send(ahead.fd, request.data(), request.size(),
+			       MSG_NOSIGNAL),
+			  (ssize_t)request.size());
+	}
+	ASSERT_GT(recv(ahead.fd, bytes, sizeof(bytes) - 1, 0), 0);
+	EXPECT_EQ(strncmp(bytes, "HTTP/1.1 200", 12), 0);
+}
+
 // A client whose response is complete sends its next request in time, though the
 // server may not have noticed that the response is sent.
 TEST(Ahead, NextRequestAfterAResponseIsNotDropped)
