http: explain when a connection that responds is looked at again

A comment that the formatter had broken over two lines is shorter, and on_response_timeout() says what it is for. No change of behaviour; t0065 and t0069 pass.

--- a/http/server.c
+++ b/http/server.c
@@ -152,8 +152,7 @@
 	bool may_be_sending; /* its client, though its input is not wanted */
 	size_t discarded_bytes; /* read since it is to be closed */
 	size_t unread_bytes; /* in the socket, as last seen while paused */
-	uint64_t
-		write_started_at; /* ms; or since when the client took enough */
+	uint64_t write_started_at; /* ms; or when its client last took enough */
 	size_t untaken_bytes; /* by the client, as last seen */
 };
 
@@ -771,6 +770,7 @@
 	close_conn(c);
 }
 
+/* Looks again at a connection that is not read from, or whose client takes little. */
 static void on_response_timeout(struct conn *c)
 {
 	if (!c->reading)
