--- a/t/lib-crowd.sh
+++ b/t/lib-crowd.sh
@@ -84,6 +84,16 @@
 	until_true 10 send_is_served "$1" POST /order/ok -d x || { say "FAIL: $2: no order is served afterwards"; bad=1; }
 }
 
+has_exited() { ! kill -0 "${PIDS[$1]}" 2>/dev/null; }
+# expect_stop N: tells node N to stop, and waits until it has done so in order.
+expect_stop() {
+	kill -TERM "${PIDS[route$1]}"
+	until_true 30 has_exited "route$1" || fail "the node does not stop"
+	wait "${PIDS[route$1]}"
+	check "its exit code" 0 "$?"
+	unset "PIDS[route$1]"
+}
+
 # start_crowd_backends: the object API, four backend servers and a configuration.
 start_crowd_backends() {
 	local n
--- a/t/t0065-requests-ahead-changes.sh
+++ b/t/t0065-requests-ahead-changes.sh
@@ -21,7 +21,6 @@
 	[ "$unread" -le $((CLIENT_MEMORY_MB * 1024)) ] &&
 		[ $((unread + $(resident_kb "route$1"))) -le $((MACHINE_MB * 1024)) ]
 }
-has_exited() { ! kill -0 "${PIDS[$1]}" 2>/dev/null; }
 
 start_crowd_backends
 
@@ -47,11 +46,7 @@
 	check "a request in calm" 200 "$(send 2 GET /read/ok)"
 	start_crowd crowd "$(client_address 2)" "$CLIENTS" ahead "$BYTES" "$path" "${crowd_head[@]}"
 	sleep 0.5
-	kill -TERM "${PIDS[route2]}"
-	until_true 30 has_exited route2 || fail "the node does not stop"
-	wait "${PIDS[route2]}"
-	check "its exit code" 0 "$?"
-	unset "PIDS[route2]"
+	expect_stop 2
 	crash crowd
 done
 start_route_node 2 "$(memory_keys)"
