review: record each request of case 7

Cause: the record had sums only, and clients could outlive the script by a request. Change: each request with its answer and servers; the clients are waited for.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -30,9 +30,9 @@
 # client NODE K: sends reads to a node until its time is over.
 client() {
 	local i=0 end=$(($(now_ms) + (OVER_S + 7) * 1000))
-	while [ "$(now_ms)" -lt "$end" ]; do
+	while [ "$(now_ms)" -lt "$end" ] && [ ! -e "$WORK/over" ]; do
 		i=$((i + 1))
-		curl -s -m 5 -o /dev/null -w "%{http_code}\n" -H "Host: $HOST" -H "Authorization: Token $ROUTE_KEY" \
+		curl -s -m 5 -o /dev/null -w "c$1-$2-$i at node $1 answered %{http_code}\n" -H "Host: $HOST" -H "Authorization: Token $ROUTE_KEY" \
 			-H "X-Chivegw-Request-Id: c$1-$2-$i" -H 'X-Chivegw-Deadline-Ms: 1000' \
 			"http://$(client_address "$1")/read/ok" >>"$WORK/answers"
 		sleep "$PAUSE_S"
@@ -56,8 +56,9 @@
 sleep 4
 for n in 3 4; do start_backend "$n" desk v2; done
 
+clients=()
 for n in $LEFT; do
-	for ((k = 1; k <= CLIENTS_PER_NODE; k++)); do run "client-$n-$k" client "$n" "$k"; done
+	for ((k = 1; k <= CLIENTS_PER_NODE; k++)); do client "$n" "$k" & clients+=($!); done
 done
 sleep 1
 old_before=$(arrivals 1 2)
@@ -76,6 +77,7 @@
 		if [ "$state" = completed ]; then
 			for n in 1 2; do
 				old_gone=$((${old_gone:-0} + $(arrivals "$n")))
+				curl -fs "http://$(backend_address "$n")/ran" >>"$WORK/ran"
 				crash "backend$n"
 				delete_object "servers/i-$n"
 			done
@@ -97,6 +99,12 @@
 for n in $SEEDS $LEFT $ADDED; do
 	grep -h 'E42[0-9] ' "$WORK/route$n.log" | sed 's/ info / /' >>"$RECORD"
 done
-record "answers: $(sort "$WORK/answers" | uniq -c | tr -s ' \n' ' ')"
+touch "$WORK/over"
+wait "${clients[@]}"
+for n in 1 2 3 4; do curl -fs -m 5 "http://$(backend_address "$n")/ran" >>"$WORK/ran"; done
+record "answers: $(cut -d' ' -f6 "$WORK/answers" | sort | uniq -c | tr -s ' \n' ' ')"
+while read -r id rest; do
+	echo "        $id $rest, run by $(grep "^$id " "$WORK/ran" | sed 's/.* by=//' | tr '\n' ' ')" >>"$RECORD"
+done <"$WORK/answers"
 say "EXPOSURE: the bad version got $new requests of $total, allowed are $allowed"
 [ "$new" -le "$allowed" ]
