fleet: log when a node begins and ceases to vouch for the source

E224 has the beginning and the end of the statuses with the age of the last answer, and source_answer_age_ms is that age as a metric, by topic.

--- a/daemon/gateway-metrics.c
+++ b/daemon/gateway-metrics.c
@@ -31,17 +31,23 @@
 			   GString *out)
 {
 	for (int i = 0; i < FEED_TOPIC_COUNT; i++) {
+		const char *topic = gateway_topic_name((enum feed_topic)i);
+
 		if (i == FEED_EVACUATIONS && !g->reads_evacuations)
 			continue;
-		g_string_append_printf(out,
-				       "chivegw_source_lost_ms{topic=\"%s\"} "
-				       "%" G_GUINT64_FORMAT
-				       "\nchivegw_source_as_of{topic=\"%"
-				       "s\"} %" G_GUINT64_FORMAT "\n",
-				       gateway_topic_name((enum feed_topic)i),
-				       g->lost_at[i] ? now - g->lost_at[i] : 0,
-				       gateway_topic_name((enum feed_topic)i),
-				       g->complete_revision[i]);
+		g_string_append_printf(
+			out,
+			"chivegw_source_lost_ms{topic=\"%s\"} "
+			"%" G_GUINT64_FORMAT "\nchivegw_source_as_of{topic=\"%"
+					     "s\"} %" G_GUINT64_FORMAT "\n",
+			topic, g->lost_at[i] ? now - g->lost_at[i] : 0, topic,
+			g->complete_revision[i]);
+		if (g->answered_at[i])
+			g_string_append_printf(
+				out,
+				"chivegw_source_answer_age_ms{topic=\"%s\"} "
+				"%" G_GUINT64_FORMAT "\n",
+				topic, now - g->answered_at[i]);
 	}
 }
 
--- a/daemon/gateway.c
+++ b/daemon/gateway.c
@@ -410,6 +410,7 @@
 	struct gateway_state *g = user;
 
 	g->lost_at[topic] = 0;
+	g->answered_at[topic] = gateway_now(g);
 	g->unconfirmed &= ~(1U << topic);
 	if (topic == FEED_EVACUATIONS &&
 	    evacuations_commit(&g->servers.evacuations, revision))
--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -94,6 +94,8 @@
 	uint64_t latest_revision[FEED_TOPIC_COUNT];
 	/* When the source of a topic became unreachable; 0: it is reachable. */
 	uint64_t lost_at[FEED_TOPIC_COUNT];
+	/* When the source last answered this node on a topic; 0: never. */
+	uint64_t answered_at[FEED_TOPIC_COUNT];
 	bool topic_listed[FEED_TOPIC_COUNT]; /* read at least once */
 	/* Time from a request to the end of its response, by route kind. */
 	struct histogram_ms request_ms[GATEWAY_ROUTE_KINDS];
--- a/fleet/fleet-task.c
+++ b/fleet/fleet-task.c
@@ -62,6 +62,7 @@
 	struct watch_role watch_role;
 	uint64_t lower_status_at; /* last source status of a lower rank */
 	uint64_t next_source_status_at;
+	bool sends_source_status; /* as last logged */
 	struct source_follow follow;
 	uint64_t next_cold_at; /* ranks for cold servers are set anew */
 	struct evacuation_task evacuations;
@@ -279,6 +280,22 @@
 	}
 }
 
+/* Logs that this node begins or ceases to send source statuses. */
+static void log_source_status(struct fleet_task *t, uint64_t now, bool sends)
+{
+	const struct gateway_state *g = t->g;
+	uint64_t answered_at = g->answered_at[FEED_CONFIG];
+
+	if (sends == t->sends_source_status)
+		return;
+	t->sends_source_status = sends;
+	log_event(
+		LOG_EVENT_SOURCE_STATUS,
+		"sends=%d announces=%d lost=%d answer_age_ms=%" G_GINT64_FORMAT,
+		sends, t->watch_role.announces, gateway_source_is_lost(g),
+		answered_at ? (gint64)(now - answered_at) : -1);
+}
+
 /*
  * Sends to all which changes this node's source reported, if its role is to.
  * Sends nothing unless the source answers on all topics.
@@ -289,16 +306,14 @@
 	uint8_t bytes[PEER_WIRE_MAX_BYTES];
 	struct fleet_wire_source s = {.servers =
 					      server_table_digest(&g->servers)};
+	bool sends = t->watch_role.announces && gateway_has_read_source(g) &&
+		     !gateway_source_is_lost(g);
 
-	if (!t->watch_role.announces || now < t->next_source_status_at)
+	log_source_status(t, now, sends);
+	if (!sends || now < t->next_source_status_at)
 		return;
 	t->next_source_status_at = now + SOURCE_STATUS_INTERVAL_MS;
-	for (int i = 0; i < FEED_TOPIC_COUNT; i++) {
-		if (g->lost_at[i] || !g->topic_listed[i])
-			return;
-		if (i < FLEET_WIRE_TOPICS)
-			s.changed[i] = g->latest_revision[i];
-	}
+	memcpy(s.changed, g->latest_revision, sizeof(s.changed));
 	g_strlcpy(s.node, g->settings->node, sizeof(s.node));
 	fleet_task_send_to_all(
 		t, bytes,
--- a/log-event.h
+++ b/log-event.h
@@ -54,6 +54,7 @@
 	X(STATE_FROM_PEER, 220, MESSAGE, "state received from another node")   \
 	X(BEHIND_PEERS, 222, WARNING, "node is behind other nodes")            \
 	X(CAUGHT_UP, 223, MESSAGE, "node caught up with other nodes")          \
+	X(SOURCE_STATUS, 224, MESSAGE, "source status began or ended")         \
 	X(ROLLOUT_ORDER, 420, MESSAGE, "roll-out order")                       \
 	X(SHIFT_PLAN, 421, MESSAGE, "roll-out plan")                           \
 	X(ROLLOUT_WRITTEN, 422, MESSAGE, "end of a roll-out written")          \
