--- a/t/t0029-store-calls.sh
+++ b/t/t0029-store-calls.sh
@@ -34,6 +34,15 @@
 settle() { until_true 15 is_settled || fail "$(watching_nodes) of $SIZE nodes watch the store"; }
 # at_most LIMIT COUNT WHAT
 at_most() { [ "$2" -le "$1" ] || fail "$3: $2, at most $1 wanted"; }
+# lost_topics: the topics that nodes count as lost.
+lost_topics() {
+	local n
+	for ((n = 1; n <= SIZE; n++)); do
+		curl -fs -m 2 "http://127.0.0.$n:$((BASE + 250))/metrics" |
+			sed -n "s/^chivegw_source_lost_ms{topic=\"\(.*\)\"} [1-9].*/route$n:\1/p"
+	done | tr '\n' ' '
+}
+none_lost() { [ -z "$(lost_topics)" ]; }
 read_everywhere() {
 	for ((n = 1; n <= SIZE; n++)); do expect "read at route$n $1" 200 "$(send "$n" GET /read/ok)"; done
 }
@@ -87,6 +96,8 @@
 outage_s=$((($(date +%s%3N) - began_ms + 999) / 1000))
 configure 4
 until_true "$CHANGE_LIMIT_S" all_in_force 4 || fail "configuration 4 is not in force everywhere"
+# The store answers, though nothing changes: no topic may count as lost any longer.
+until_true "$CHANGE_LIMIT_S" none_lost || fail "still lost after the outage: $(lost_topics)"
 settle
 # The watchers retry, each other node looks twice, and the watches start again.
 retries_per_s=5
