fleet: tell nodes that leave what all others are told

A node that leaves serves requests for some seconds more, but from the moment at which the others knew that it leaves they sent it no plan of a roll-out, no evacuated zones and no source status. In a large fleet each of them therefore began to watch the store 0.7 s later; of a roll-out's end it knew nothing beside its own counts.

Messages to all now go to members that leave, too, until the time that a node has to stop (grace_s) is over.

t0029 checks that a node doesn't begin to watch while it leaves. On the commit before it fails: "route4 watched the store while it left" (E221 0.7 s after E101 at each of five nodes). That a plan reaches a node that leaves has no test of its own.

--- a/fleet/fleet-task.c
+++ b/fleet/fleet-task.c
@@ -39,6 +39,7 @@
 #define LIMIT_FANOUT 16 /* nodes that servers' limits are sent to */
 #define BRITTLE_RANK_INTERVAL_MS 1000
 #define COLD_RANK_INTERVAL_MS 1000
+#define MS_PER_S 1000
 #define EVALUATORS 2 /* nodes that get a roll-out's reports, by rank */
 
 struct fleet_task {
@@ -190,7 +191,27 @@
 		fleet_task_send(t, first[i]->info.addr, bytes, len);
 }
 
-/* Sends a message to all members that are neither dead nor leaving. */
+/* Returns whether a member serves requests, as far as this node knows. */
+static bool may_serve(const struct fleet_task *t, const struct member_entry *m)
+{
+	double grace_ms = t->g->settings->grace_s * MS_PER_S;
+
+	switch (m->info.state) {
+	case MEMBER_ALIVE:
+	case MEMBER_SUSPECT:
+		return true;
+	case MEMBER_LEAVING:
+		return (double)(gateway_now(t->g) - m->changed_at) < grace_ms;
+	case MEMBER_DEAD:
+		break;
+	}
+	return false;
+}
+
+/*
+ * Sends a message to all members that serve requests; those that leave do so until
+ * their time to stop is over.
+ */
 void fleet_task_send_to_all(struct fleet_task *t, const uint8_t *bytes,
 			    size_t len)
 {
@@ -200,8 +221,7 @@
 		const struct member_entry *m =
 			&g_array_index(members, struct member_entry, i);
 
-		if (m->info.state != MEMBER_LEAVING &&
-		    m->info.state != MEMBER_DEAD)
+		if (may_serve(t, m))
 			fleet_task_send(t, m->info.addr, bytes, len);
 	}
 }
--- a/t/t0029-store-calls.sh
+++ b/t/t0029-store-calls.sh
@@ -34,6 +34,11 @@
 settle() { until_true 15 is_settled || fail "$(watching_nodes) of $SIZE nodes watch the store"; }
 # at_most LIMIT COUNT WHAT
 at_most() { [ "$2" -le "$1" ] || fail "$3: $2, at most $1 wanted"; }
+# watched_while_leaving N: whether the node began to after SIGTERM, before its next start.
+watched_while_leaving() {
+	awk '/ E101 / { leaving = 1 } / E100 / { leaving = 0 }
+		leaving && / E221 .*watching=1/ { found = 1 } END { exit !found }' "$WORK/route$1.log"
+}
 # lost_topics: the topics that nodes count as lost.
 lost_topics() {
 	local n
@@ -76,6 +81,10 @@
 	sleep 1.5
 done
 settle
+# Those that leave still hear from the nodes that watch.
+for ((n = 4; n < 4 + restarts; n++)); do
+	! watched_while_leaving "$n" || fail "route$n watched the store while it left"
+done
 # A start lists each topic; a node that was a watcher is replaced, and may watch
 # again.
 at_most "$restarts" $(($(calls config) - lists_before)) "configurations listed in $restarts restarts"
