fleet: vouch for the source only while it answers

The nodes that served them had no disturbance: they followed four nodes that watch the store, and these were cut off from it.

Cause: a node that watches sent "nothing has changed" until a call of its own failed. A watch is a call that waits for up to 8 s, and one whose answer no longer arrives looks like one without a change.

A status is now sent only while the source's last answer is at most 1.2 s old. So that somebody always has one, the first of the nodes that watch leads: its watch of the configuration ends each second, the others' last as before. Another takes over after 0.45 s without a status of a lower rank, and a leader whose answer is overdue asks on a new connection. What was answered before a pause of the process counts no longer.

--- a/daemon/gateway-metrics.c
+++ b/daemon/gateway-metrics.c
@@ -27,27 +27,26 @@
 			     "kind=\"streaming\"", out);
 }
 
+static void append_topic(GString *out, const char *name, int topic,
+			 uint64_t value)
+{
+	g_string_append_printf(
+		out, "chivegw_%s{topic=\"%s\"} %" G_GUINT64_FORMAT "\n", name,
+		gateway_topic_name((enum feed_topic)topic), value);
+}
+
 static void append_sources(const struct gateway_state *g, uint64_t now,
 			   GString *out)
 {
 	for (int i = 0; i < FEED_TOPIC_COUNT; i++) {
-		const char *topic = gateway_topic_name((enum feed_topic)i);
-
 		if (i == FEED_EVACUATIONS && !g->reads_evacuations)
 			continue;
-		g_string_append_printf(
-			out,
-			"chivegw_source_lost_ms{topic=\"%s\"} "
-			"%" G_GUINT64_FORMAT "\nchivegw_source_as_of{topic=\"%"
-					     "s\"} %" G_GUINT64_FORMAT "\n",
-			topic, g->lost_at[i] ? now - g->lost_at[i] : 0, topic,
-			g->complete_revision[i]);
+		append_topic(out, "source_lost_ms", i,
+			     g->lost_at[i] ? now - g->lost_at[i] : 0);
+		append_topic(out, "source_as_of", i, g->complete_revision[i]);
 		if (g->answered_at[i])
-			g_string_append_printf(
-				out,
-				"chivegw_source_answer_age_ms{topic=\"%s\"} "
-				"%" G_GUINT64_FORMAT "\n",
-				topic, now - g->answered_at[i]);
+			append_topic(out, "source_answer_age_ms", i,
+				     now - g->answered_at[i]);
 	}
 }
 
--- a/daemon/gateway.c
+++ b/daemon/gateway.c
@@ -122,6 +122,8 @@
 	log_event(LOG_EVENT_PAUSED, "ms=%" G_GUINT64_FORMAT " open=%zu", ms,
 		  g->open_requests);
 	g->resumed_at = gateway_now(g);
+	/* The clock may not have counted the pause. */
+	memset(g->answered_at, 0, sizeof(g->answered_at));
 	g->unconfirmed = 1U << FEED_CONFIG;
 	if (g->reads_evacuations)
 		g->unconfirmed |= 1U << FEED_EVACUATIONS;
--- a/fleet/fleet-task.c
+++ b/fleet/fleet-task.c
@@ -318,7 +318,7 @@
 
 /*
  * Sends to all which changes this node's source reported, if its role is to.
- * Sends nothing unless the source answers on all topics.
+ * Sends nothing unless the source answers on all topics, and did so lately.
  */
 static void send_source_status(struct fleet_task *t, uint64_t now)
 {
@@ -326,8 +326,8 @@
 	uint8_t bytes[PEER_WIRE_MAX_BYTES];
 	struct fleet_wire_source s = {.servers =
 					      server_table_digest(&g->servers)};
-	bool sends = t->watch_role.announces && gateway_has_read_source(g) &&
-		     !gateway_source_is_lost(g);
+	bool sends = t->watch_role.announces && t->watch_role.vouches &&
+		     gateway_has_read_source(g) && !gateway_source_is_lost(g);
 
 	log_source_status(t, now, sends);
 	if (!sends || now < t->next_source_status_at)
@@ -372,7 +372,9 @@
 		.source_answers = !gateway_source_is_lost(t->g),
 		.status_at = t->follow.status_at,
 		.lower_status_at = t->lower_status_at,
+		.answered_at = t->g->answered_at[FEED_CONFIG],
 	};
+	bool was_confirming = t->watch_role.confirms;
 
 	fill_known_changes(t->g, known);
 	view.caught_up =
@@ -382,11 +384,16 @@
 	t->watch_role = watch_plan_decide(&t->watch_plan, now, &view);
 	platform_feed_set_watchers(t->g->feed, t->watch_role.watchers,
 				   view.rank);
+	platform_feed_set_answer_interval(
+		t->g->feed,
+		t->watch_role.leads ? WATCH_PLAN_ANSWER_INTERVAL_MS : 0);
 	platform_feed_set_backoff(t->g->feed, t->watch_role.retry_min_ms,
 				  t->watch_role.retry_max_ms);
 	if (!t->watch_role.watches)
 		gateway_set_followed_source(t->g, t->watch_role.source_lost);
 	platform_feed_pause(t->g->feed, !t->watch_role.watches);
+	if (t->watch_role.confirms && !was_confirming)
+		platform_feed_confirm(t->g->feed);
 }
 
 /* Sends a message to so many live members, starting at a random one. */
--- a/fleet/watch-plan.c
+++ b/fleet/watch-plan.c
@@ -7,6 +7,12 @@
 #define LARGE_MIN_NODES 17
 #define SMALL_MAX_NODES 11
 #define STATUS_MAX_AGE_MS 700
+/* Age of the source's last answer up to which a node vouches for it. */
+#define ANSWER_MAX_AGE_MS 1200
+/* At this age the watch counts as silent, and a new call asks the source. */
+#define ANSWER_OVERDUE_MS 1400
+/* Without a status of a lower rank for so long, a node that watches leads. */
+#define LEAD_AFTER_SILENCE_MS 450
 /* While statuses stay away, the nodes that watch double this often. */
 #define ESCALATION_STEP_MS 300
 #define MAX_DOUBLINGS 24
@@ -26,16 +32,18 @@
 	}
 }
 
-/*
- * Returns for how many ms a status has been overdue after the last one, which
- * came at `status_at`; 0: it is not.
- */
+/* Returns for how many ms no status has come after that of `status_at`. */
+static uint64_t silent_ms(const struct watch_plan *p, uint64_t now,
+			  uint64_t status_at)
+{
+	return now - (status_at > p->large_since ? status_at : p->large_since);
+}
+
+/* Returns for how many ms a status has been overdue; 0: it is not. */
 static uint64_t overdue_ms(const struct watch_plan *p, uint64_t now,
 			   uint64_t status_at)
 {
-	uint64_t since =
-		status_at > p->large_since ? status_at : p->large_since;
-	uint64_t age_ms = now - since;
+	uint64_t age_ms = silent_ms(p, now, status_at);
 
 	return age_ms < STATUS_MAX_AGE_MS ? 0 : age_ms - STATUS_MAX_AGE_MS + 1;
 }
@@ -65,6 +73,19 @@
 	       overdue_ms(p, now, v->lower_status_at);
 }
 
+/* Sets what a node does that watches on behalf of the others. */
+static void announce(struct watch_role *role, const struct watch_plan *p,
+		     uint64_t now, const struct watch_plan_view *v)
+{
+	uint64_t age_ms = v->answered_at ? now - v->answered_at : UINT64_MAX;
+
+	role->announces = true;
+	role->vouches = age_ms <= ANSWER_MAX_AGE_MS;
+	role->leads =
+		silent_ms(p, now, v->lower_status_at) >= LEAD_AFTER_SILENCE_MS;
+	role->confirms = role->leads && age_ms > ANSWER_OVERDUE_MS;
+}
+
 /*
  * Decides the node's role at `now`. Nodes with different member tables may
  * both take a rank, so roles may overlap; that costs calls only.
@@ -74,7 +95,6 @@
 {
 	struct watch_role role = {
 		.watches = true,
-		.announces = true,
 		.watchers = WATCH_PLAN_WATCHERS,
 		.retry_min_ms = WATCHER_RETRY_MIN_MS,
 		.retry_max_ms = WATCHER_RETRY_MAX_MS,
@@ -82,14 +102,16 @@
 
 	update_size(p, now, v->live);
 	if (!p->large) {
-		role.announces = false;
 		role.watchers = v->live;
 		return role;
 	}
-	if (v->rank < WATCH_PLAN_WATCHERS)
+	if (v->rank < WATCH_PLAN_WATCHERS) {
+		announce(&role, p, now, v);
 		return role;
+	}
 	p->stands_in = stands_in(p, now, v);
-	role.announces = p->stands_in;
+	if (p->stands_in)
+		announce(&role, p, now, v);
 	/* A node without state, or one that misses a change, reads it itself. */
 	if (!v->has_read || !v->caught_up)
 		return role;
--- a/fleet/watch-plan.h
+++ b/fleet/watch-plan.h
@@ -13,8 +13,14 @@
  * number of nodes that look for themselves doubles step by step, so that an
  * outage is probed by a few nodes, and nodes that alone reach the source are
  * found soon.
+ *
+ * A status says that the source has just answered its sender: a watch that is
+ * silent proves nothing. The first of the nodes that watch leads: its watch of
+ * the configuration ends each WATCH_PLAN_ANSWER_INTERVAL_MS. The others' may last
+ * long, and one of them leads once no node of a lower rank sends its status.
  */
 #define WATCH_PLAN_WATCHERS 4 /* nodes that watch in a large fleet */
+#define WATCH_PLAN_ANSWER_INTERVAL_MS 1000
 
 struct watch_plan {
 	bool large; /* the fleet counts as large */
@@ -31,11 +37,15 @@
 	bool source_answers; /* this node, at its last call */
 	uint64_t status_at; /* last status of another node; 0: none */
 	uint64_t lower_status_at; /* last one of a node of lower rank */
+	uint64_t answered_at; /* this node, about the configuration; 0: never */
 };
 
 struct watch_role {
 	bool watches;
-	bool announces; /* sends its status to all nodes */
+	bool announces; /* sends its status to all nodes, while it vouches */
+	bool vouches; /* the source's last answer is new enough for a status */
+	bool leads; /* its watch of the configuration ends often */
+	bool confirms; /* leads, and needs an answer of the source at once */
 	bool source_lost; /* neither this node nor a watcher reads the source */
 	uint32_t watchers; /* nodes that watch, as far as this one knows */
 	uint32_t retry_min_ms; /* backoff after failed calls */
--- a/t/t0029-store-calls.sh
+++ b/t/t0029-store-calls.sh
@@ -13,7 +13,7 @@
 WATCHERS=4
 TOPICS=3
 OUTAGE_S=4
-# While nothing changes, a watch of the configuration ends each two seconds; the
+# While nothing changes, one node's watch of the configuration ends each second; the
 # longest other watches last half a minute.
 IDLE_CALLS_PER_S=1
 CHANGE_LIMIT_S=2
