exchange: check a server's load report before it is used

Cause, by the calls that E105 printed (addr2line: load_limit_on_answer(), load-limit.c:75): the field was read with sscanf("%u"), which takes a sign, any figure was stored, and load_limit_on_answer() cast half of the load to int before it bounded it. That is undefined and gives an index far before the table on x86-64.

load_report_parse() takes decimal figures without a sign that a server can have; other reports are counted and logged (E747), and the report before holds until it is too old. load_limit_on_answer() compares before it casts, whatever the load. SANITIZE=1 now checks such casts.

--- a/Makefile
+++ b/Makefile
@@ -19,10 +19,11 @@
 LDLIBS = -lhttp_parser $(PKG_LIBS) -lm
 
 ifeq ($(SANITIZE),1)
+SANITIZERS = address,undefined,float-cast-overflow
 BUILD := build-sanitize
-CFLAGS += -fsanitize=address,undefined -fno-omit-frame-pointer
-CXXFLAGS += -fsanitize=address,undefined -fno-omit-frame-pointer
-LDFLAGS += -fsanitize=address,undefined
+CFLAGS += -fsanitize=$(SANITIZERS) -fno-omit-frame-pointer
+CXXFLAGS += -fsanitize=$(SANITIZERS) -fno-omit-frame-pointer
+LDFLAGS += -fsanitize=$(SANITIZERS)
 endif
 
 SLICES = admission fleet crash relay exchange config member limit route rollout session order usage backend \
--- a/counters.h
+++ b/counters.h
@@ -51,6 +51,8 @@
 	  "connections whose requests sent ahead were dropped")                \
 	X(CONNECTIONS_CLOSED, "connections_closed_total",                      \
 	  "connections of clients closed or refused beyond their limit")       \
+	X(BAD_LOAD_REPORTS, "bad_load_reports_total",                          \
+	  "load reports of servers that could not be read")                    \
 	X(STORE_CALLS, "store_calls_total", "calls to the object API")         \
 	X(STORE_FAILURES, "store_failures_total",                              \
 	  "calls to the object API that failed")                               \
--- a/exchange/exchange-task.c
+++ b/exchange/exchange-task.c
@@ -9,6 +9,7 @@
 #include "exchange/admission-task.h"
 #include "exchange/intake-task.h"
 #include "exchange/load-limit.h"
+#include "exchange/load-report.h"
 #include "fleet/fleet-task.h"
 #include "http/connect-test.h"
 #include "invariant.h"
@@ -38,6 +39,7 @@
 #define MIN_SEND_TIME_MS 5 /* before the deadline */
 #define MAX_RETRY_AFTER_MS 5000 /* in refusals */
 #define MAX_PAUSE_S 3600.0 /* that a server can ask for */
+#define MAX_LOGGED_VALUE 64 /* bytes of a header field in a log line */
 #define MAX_URGENCY 9 /* the least urgent */
 #define MIN_INTERVAL_EVENTS 3 /* for a mean time between events */
 #define MIN_SERVER_SAMPLE_EVENTS 5 /* the same, to rate the server by it */
@@ -708,6 +710,18 @@
 		conclude_attempt(x, end);
 }
 
+/* Counts a load report that is not used, and logs the first of several in a row. */
+static void on_bad_load_report(struct exchange_request *x, const char *value)
+{
+	counter_add(&x->g->counter_set, COUNTER_BAD_LOAD_REPORTS, 1);
+	if (x->server->bad_load_report)
+		return;
+	x->server->bad_load_report = true;
+	log_event(LOG_EVENT_LOAD_REPORT_BAD,
+		  "service=%s server=%s value=%.*s request=%s", x->service,
+		  x->server->id, MAX_LOGGED_VALUE, value, x->id);
+}
+
 /*
  * Stores the load that a server reports as "running,waiting,slots", and how slow
  * its machine is if that is the fourth figure.
@@ -715,20 +729,25 @@
 static void read_load_header(struct exchange_request *x, const char *value,
 			     bool by_server)
 {
-	unsigned int running, waiting, slots, percent = 0;
+	struct load_report r;
 	uint64_t now = gateway_now(x->g);
 
-	if (!value || sscanf(value, "%u,%u,%u,%u", &running, &waiting, &slots,
-			     &percent) < 3)
+	if (!value)
+		return;
+	if (!load_report_parse(value, &r)) {
+		on_bad_load_report(x, value);
 		return;
-	server_on_load_report(x->server, now, running, waiting, slots);
-	if (!percent && x->g->contended)
-		percent = PACE_USUAL_PERCENT;
+	}
+	x->server->bad_load_report = false;
+	server_on_load_report(x->server, now, r.running, r.waiting, r.slots);
+	if (!r.percent && x->g->contended)
+		r.percent = PACE_USUAL_PERCENT;
 	if (!x->helper && by_server &&
-	    server_on_slowness_report(&x->g->servers, x->server, now, percent))
+	    server_on_slowness_report(&x->g->servers, x->server, now,
+				      r.percent))
 		log_event(LOG_EVENT_SHARED_MACHINES,
 			  "service=%s server=%s percent=%u", x->service,
-			  x->server->id, percent);
+			  x->server->id, r.percent);
 	admission_task_on_room(x->admission_service);
 }
 
--- a/exchange/load-limit.c
+++ b/exchange/load-limit.c
@@ -67,11 +67,14 @@
 bool load_limit_on_answer(struct load_limit *l, uint64_t now, double load,
 			  bool failed)
 {
-	int bin = (int)(MAX(load, 0) / LOAD_LIMIT_BIN_REQUESTS);
+	const int last = LOAD_LIMIT_BINS - 1;
+	/* Compared before the cast: a load may exceed any int. */
+	int bin = load < (double)last * LOAD_LIMIT_BIN_REQUESTS
+			  ? (int)(MAX(load, 0) / LOAD_LIMIT_BIN_REQUESTS)
+			  : last;
 	uint32_t before = l->limit;
 
 	decay(l, now);
-	bin = MIN(bin, LOAD_LIMIT_BINS - 1);
 	l->bin[bin].n++;
 	if (!failed)
 		return false;
--- a/exchange/servers.h
+++ b/exchange/servers.h
@@ -81,6 +81,7 @@
 	uint32_t reported_load; /* running and waiting, by its own report */
 	uint32_t reported_in_flight; /* in_flight at reported_at */
 	uint64_t reported_at; /* 0: no report yet */
+	bool bad_load_report; /* its last report was malformed */
 	struct pace_server pace; /* its measured speed */
 	uint32_t boots; /* starts seen by this node */
 	uint64_t sent_tokens; /* of prompts, by this node */
--- a/log-event.h
+++ b/log-event.h
@@ -70,6 +70,7 @@
 	X(RELAYED, 718, MESSAGE, "request passed on to a node")                \
 	X(RELAY_ACCEPTED, 719, MESSAGE, "request from another node")           \
 	X(SHARED_MACHINES, 745, MESSAGE, "servers share their machines")       \
+	X(LOAD_REPORT_BAD, 747, WARNING, "load report of a server not usable") \
 	X(SERVER_PACE, 746, MESSAGE, "speed of a server changed")              \
 	X(LOAD_LIMIT, 715, WARNING, "servers fail beyond a load")              \
 	X(SERVER_LIMIT, 712, MESSAGE, "server named a limit")                  \
--- a/t/unit/load_limit_test.cc
+++ b/t/unit/load_limit_test.cc
@@ -1,3 +1,4 @@
+#include <cmath>
 #include <gtest/gtest.h>
 
 extern "C" {
@@ -25,6 +26,29 @@
 	EXPECT_TRUE(load_limit_allows(&l, 2000, 27));
 }
 
+/* A load beyond the range of an int was counted outside the table. */
+TEST(LoadLimit, LoadsOfAnySizeAreCountedWithinTheTable)
+{
+	struct {
+		uint64_t before[64];
+		load_limit l;
+		uint64_t after[64];
+	} guarded = {};
+
+	for (double load : {-1.0, 0.0, 1e6, 2147483648.0, 4294967296.0,
+			    8589934592.0, 1e18, 1e300, HUGE_VAL, -HUGE_VAL})
+		load_limit_on_answer(&guarded.l, 1000, load, true);
+	double counted = 0;
+	for (const auto &bin : guarded.l.bin)
+		counted += bin.n;
+	EXPECT_EQ(counted, 10);
+	EXPECT_EQ(guarded.l.bin[LOAD_LIMIT_BINS - 1].n, 7);
+	for (int i = 0; i < 64; i++) {
+		EXPECT_EQ(guarded.before[i], 0u);
+		EXPECT_EQ(guarded.after[i], 0u);
+	}
+}
+
 TEST(LoadLimit, FailuresAtAnyLoadSetNone)
 {
 	load_limit l = {};
