--- a/exchange/routes.c
+++ b/exchange/routes.c
@@ -42,15 +42,6 @@
 	return ROUTE_NONE;
 }
 
-/* Returns an integer member, bounded to 0..max, or its default if absent. */
-static uint32_t bounded_int(struct json_object *o, const char *key,
-			    uint32_t fallback, uint32_t max)
-{
-	int64_t v = jcheck_get_int(o, key, fallback);
-
-	return (uint32_t)CLAMP(v, 0, (int64_t)max);
-}
-
 static bool build_service(struct route_service *s, struct json_object *o,
 			  GError **err)
 {
@@ -60,9 +51,10 @@
 	if (!*s->name)
 		return fail(err, ROUTE_ERROR_FORMAT, "a service needs a name",
 			    "-");
-	s->max_connections = bounded_int(o, "max_connections", 0, UINT16_MAX);
-	s->slots = bounded_int(o, "slots", 0, UINT16_MAX);
-	s->kv_capacity = bounded_int(o, "kv_capacity", 0, UINT32_MAX);
+	s->max_connections =
+		jcheck_get_bounded(o, "max_connections", 0, UINT16_MAX);
+	s->slots = jcheck_get_bounded(o, "slots", 0, UINT16_MAX);
+	s->kv_capacity = jcheck_get_bounded(o, "kv_capacity", 0, UINT32_MAX);
 	s->cold_ms = (uint32_t)CLAMP(1000 * jcheck_get_real(o, "cold_s", 0), 0,
 				     MAX_TIMEOUT_MS);
 	s->cold_per_s = jcheck_get_real(o, "cold_per_s", 0);
@@ -100,7 +92,7 @@
 
 		s->service = route_find_service(
 			r, jcheck_get_string(o, "service", ""));
-		s->weight = bounded_int(o, "weight", 1, UINT16_MAX);
+		s->weight = jcheck_get_bounded(o, "weight", 1, UINT16_MAX);
 		if (s->service == ROUTE_NONE)
 			return fail(err, ROUTE_ERROR_REFERENCE,
 				    "refers to an unknown service",
@@ -153,13 +145,15 @@
 			    route->name);
 	route->resumable = json_object_get_boolean(jcheck_get(o, "resumable"));
 	route->is_public = json_object_get_boolean(jcheck_get(o, "public"));
-	route->timeout_ms = bounded_int(o, "timeout_ms", DEFAULT_TIMEOUT_MS,
-					MAX_TIMEOUT_MS);
-	route->objective_ms = bounded_int(o, "objective_ms", 0, MAX_TIMEOUT_MS);
-	route->pause_ms = bounded_int(o, "pause_ms", 0, MAX_TIMEOUT_MS);
-	route->attempts = MAX(bounded_int(o, "attempts", 1, MAX_ATTEMPTS), 1);
+	route->timeout_ms = jcheck_get_bounded(
+		o, "timeout_ms", DEFAULT_TIMEOUT_MS, MAX_TIMEOUT_MS);
+	route->objective_ms =
+		jcheck_get_bounded(o, "objective_ms", 0, MAX_TIMEOUT_MS);
+	route->pause_ms = jcheck_get_bounded(o, "pause_ms", 0, MAX_TIMEOUT_MS);
+	route->attempts =
+		MAX(jcheck_get_bounded(o, "attempts", 1, MAX_ATTEMPTS), 1);
 	route->priority =
-		bounded_int(o, "priority", DEFAULT_PRIORITY, UINT16_MAX);
+		jcheck_get_bounded(o, "priority", DEFAULT_PRIORITY, UINT16_MAX);
 	build_models(route, jcheck_get(o, "models"));
 	return build_splits(r, route, jcheck_get(o, "services"), err);
 }
@@ -176,7 +170,7 @@
 			    "an organisation needs a name", "-");
 	org->has_priority = jcheck_get(o, "priority") != NULL;
 	org->priority =
-		bounded_int(o, "priority", DEFAULT_PRIORITY, UINT16_MAX);
+		jcheck_get_bounded(o, "priority", DEFAULT_PRIORITY, UINT16_MAX);
 	for (size_t k = 0; k < jcheck_array_length(keys); k++)
 		g_hash_table_insert(
 			r->keys,
@@ -199,13 +193,14 @@
 
 static void build_limits(struct route_limits *l, struct json_object *o)
 {
-	l->head_bytes = bounded_int(o, "max_head_bytes", DEFAULT_MAX_HEAD_BYTES,
-				    UINT32_MAX);
-	l->body_bytes = bounded_int(o, "max_body_bytes", DEFAULT_MAX_BODY_BYTES,
-				    UINT32_MAX);
-	l->receive_ms =
-		bounded_int(o, "head_ms", DEFAULT_RECEIVE_MS, MAX_TIMEOUT_MS);
-	l->idle_ms = bounded_int(o, "idle_ms", DEFAULT_IDLE_MS, MAX_TIMEOUT_MS);
+	l->head_bytes = jcheck_get_bounded(o, "max_head_bytes",
+					   DEFAULT_MAX_HEAD_BYTES, UINT32_MAX);
+	l->body_bytes = jcheck_get_bounded(o, "max_body_bytes",
+					   DEFAULT_MAX_BODY_BYTES, UINT32_MAX);
+	l->receive_ms = jcheck_get_bounded(o, "head_ms", DEFAULT_RECEIVE_MS,
+					   MAX_TIMEOUT_MS);
+	l->idle_ms = jcheck_get_bounded(o, "idle_ms", DEFAULT_IDLE_MS,
+					MAX_TIMEOUT_MS);
 }
 
 static size_t path_length(const struct route_table *r, route_handle h)
--- a/fleet/fleet-task.c
+++ b/fleet/fleet-task.c
@@ -382,10 +382,8 @@
 		!(source_follow_hears_status(&t->follow, now) &&
 		  evacuation_task_is_uninformed(&t->evacuations, t->g, now));
 	t->watch_role = watch_plan_decide(&t->watch_plan, now, &view);
-	platform_feed_set_watchers(t->g->feed, t->watch_role.watchers,
-				   view.rank);
-	platform_feed_set_answer_interval(
-		t->g->feed,
+	platform_feed_set_watchers(
+		t->g->feed, t->watch_role.watchers, view.rank,
 		t->watch_role.leads ? WATCH_PLAN_ANSWER_INTERVAL_MS : 0);
 	platform_feed_set_backoff(t->g->feed, t->watch_role.retry_min_ms,
 				  t->watch_role.retry_max_ms);
--- a/json-check.c
+++ b/json-check.c
@@ -494,6 +494,15 @@
 	return val ? json_object_get_int64(val) : fallback;
 }
 
+/* Returns an integer member, bounded to 0..max, or the fallback if there is none. */
+uint32_t jcheck_get_bounded(struct json_object *obj, const char *key,
+			    uint32_t fallback, uint32_t max)
+{
+	int64_t v = jcheck_get_int(obj, key, fallback);
+
+	return (uint32_t)CLAMP(v, 0, (int64_t)max);
+}
+
 /* Returns a number member, or the fallback if there is none. */
 double jcheck_get_real(struct json_object *obj, const char *key,
 		       double fallback)
--- a/json-check.h
+++ b/json-check.h
@@ -55,6 +55,8 @@
 const char *jcheck_get_name(struct json_object *obj, const char *key);
 int64_t jcheck_get_int(struct json_object *obj, const char *key,
 		       int64_t fallback);
+uint32_t jcheck_get_bounded(struct json_object *obj, const char *key,
+			    uint32_t fallback, uint32_t max);
 double jcheck_get_real(struct json_object *obj, const char *key,
 		       double fallback);
 struct json_object *jcheck_get(struct json_object *obj, const char *key);
