--- a/rollout/shift-task.c
+++ b/rollout/shift-task.c
@@ -125,11 +125,13 @@
 	sum = shift_total_evidence(s);
 	log_event(LOG_EVENT_SHIFT_PLAN,
 		  "service=%s target=%s state=%s share=%.3f by=%s age_ms=%u "
-		  "over_ms=%u requests=%u sent_new=%u old_in_flight=%u why=%s",
+		  "over_ms=%u requests=%u sent_new=%u old_in_flight=%u "
+		  "reports=%u nodes=%u why=%s",
 		  s->service, s->target, shift_state_name(s->plan.state),
 		  (double)s->plan.share / SHIFT_FULL_SHARE, by,
 		  shift_age_ms(s, now), s->time_limit_ms, sum.requests,
-		  sum.sent_new, sum.old_in_flight,
+		  sum.sent_new, sum.old_in_flight, s->reports->len,
+		  fleet_task_live_count(o->t->g->fleet),
 		  s->failed_metric ? s->failed_metric : "-");
 }
 
