--- a/t/unit/shift_test.cc
+++ b/t/unit/shift_test.cc
@@ -212,6 +212,21 @@
 	shift_free(idle);
 }
 
+TEST(Shift, ANodeThatIsLeftAloneAfterTheMoveDoesNotComplete)
+{
+	traffic_shift *s = shift_new("s", "v2", 12000, 5000, 0);
+	shift_params params = kParams;
+	const shift_plan heard = {6000, SHIFT_FULL_SHARE, SHIFT_IN_PROGRESS,
+				  false};
+
+	params.trial_only = true;
+	shift_on_plan(s, 6000, &heard);
+	for (uint64_t now = 6200; now < 12000; now += 200)
+		shift_update_plan(s, now, &params, 3);
+	EXPECT_EQ(s->plan.state, SHIFT_IN_PROGRESS);
+	shift_free(s);
+}
+
 TEST(Shift, ALoneNodeRevertsABadVersion)
 {
 	for (uint64_t seed = 1; seed <= 10; seed++) {
