rollout: let a lone node move all traffic as late as is safe without counts

With a node that knows no other left each roll-out in its trial.

That keeps to the bound for the whole fleet at a steady rate of requests, whatever part of them this node has counted, and uses nothing of what is allowed beyond the share, which others may use. Where there are others with the counts they decide before it.

--- a/rollout/shift-task.c
+++ b/rollout/shift-task.c
@@ -22,7 +22,7 @@
 	uint64_t next_write_at; /* of the final state */
 	bool writing; /* a write is under way */
 	bool listed; /* present in the listing being applied */
-	bool logged_alone; /* see must_stay_in_trial() */
+	bool logged_alone; /* see judges_alone() */
 	uint32_t logged_plan; /* share + state of the plan logged last */
 	struct fleet_wire_sessions unsent_sessions; /* for the other nodes */
 };
@@ -286,18 +286,18 @@
 }
 
 /*
- * Returns whether the judge of a roll-out must not go beyond the trial, as it has
- * found no other node. Logs, once each, that it is so and that it is not any more.
+ * Returns whether the judge of a roll-out has found no other node. Logs, once each,
+ * that it is so and that it is not any more.
  */
-static bool must_stay_in_trial(struct shift_order *o)
+static bool judges_alone(struct shift_order *o)
 {
 	const struct fleet_task *fleet = o->t->g->fleet;
 	bool alone = fleet_task_is_isolated(fleet);
 
 	if (alone != o->logged_alone) {
 		o->logged_alone = alone;
-		log_event(LOG_EVENT_ROLLOUT_TRIAL_ONLY,
-			  "service=%s target=%s trial_only=%d nodes=%u",
+		log_event(LOG_EVENT_ROLLOUT_ALONE,
+			  "service=%s target=%s alone=%d nodes=%u",
 			  o->shift->service, o->shift->target, alone,
 			  fleet_task_live_count(fleet));
 	}
@@ -319,7 +319,7 @@
 	if (shift_detect_regression(s, now))
 		log_plan(o, now, "self");
 	if (!fleet_task_rank(g->fleet, s->service)) {
-		p.trial_only = must_stay_in_trial(o);
+		p.alone = judges_alone(o);
 		shift_update_plan(
 			s, now, &p,
 			server_count_ready(&g->servers, s->service, s->target));
--- a/rollout/shift.c
+++ b/rollout/shift.c
@@ -473,6 +473,25 @@
 	       EXPOSURE_SAFETY_FACTOR * allowed_requests;
 }
 
+static double trial_share(const struct shift_params *p)
+{
+	return MIN(MAX_TRIAL_SHARE, TRIAL_SHARE_FACTOR * p->expose_share);
+}
+
+/*
+ * Returns whether all requests may use the new version until the time allowed is
+ * over, whatever part of them this node has counted: so little of the time is left
+ * that they keep within the share, beside the trial, without what is allowed beyond.
+ */
+static bool late_move_is_safe(const struct traffic_shift *s, uint64_t now,
+			      const struct shift_params *p)
+{
+	double age = (double)shift_age_ms(s, now) / s->time_limit_ms;
+
+	return 1 - age + trial_share(p) <=
+	       EXPOSURE_SAFETY_FACTOR * p->expose_share;
+}
+
 /* Returns whether the requests sent so far leave room for more of the trial. */
 static bool trial_is_safe(const struct shift_params *p,
 			  const struct shift_evidence *e)
@@ -489,13 +508,13 @@
 {
 	if (shift_age_ms(s, now) < s->session_ms + START_DELAY_MS)
 		return 0;
-	if (!p->trial_only &&
-	    shift_age_ms(s, now) >= MOVE_START_FRACTION * s->time_limit_ms &&
-	    full_share_is_safe(s, now, p, e))
+	if (shift_age_ms(s, now) >= MOVE_START_FRACTION * s->time_limit_ms &&
+	    (p->alone ? late_move_is_safe(s, now, p)
+		      : full_share_is_safe(s, now, p, e)))
 		return 1;
 	if (!trial_is_safe(p, e))
 		return 0;
-	return MIN(MAX_TRIAL_SHARE, TRIAL_SHARE_FACTOR * p->expose_share);
+	return trial_share(p);
 }
 
 /* Returns how many answers of the new version have their latency compared. */
@@ -570,7 +589,8 @@
 		desired = plan.share;
 	plan.share = MAX(plan.share, desired);
 	plan.fills = plan.fills || may_fill(&sum);
-	if (!p->trial_only && may_complete(s, now, &sum) && ready_new)
+	if (ready_new && may_complete(s, now, &sum) &&
+	    (!p->alone || late_move_is_safe(s, now, p)))
 		plan.state = SHIFT_COMPLETED;
 	apply_plan(s, now, &plan);
 	return plan;
--- a/rollout/shift.h
+++ b/rollout/shift.h
@@ -82,8 +82,8 @@
 struct shift_params {
 	double expose_share; /* of the requests for the service */
 	double expose_slack; /* requests allowed beyond that share */
-	/* There may be requests that are in no report: nothing beyond the trial. */
-	bool trial_only;
+	/* The coordinator knows no other node: requests may be in no report. */
+	bool alone;
 };
 
 /* Version used by a session's last request, as far as this node knows. */
--- a/t/t0072-lost-seeds-rollout.sh
+++ b/t/t0072-lost-seeds-rollout.sh
@@ -12,7 +12,8 @@
 ADDED=6
 OVER_S=16
 BAD_AFTER_S=5 # less than the half of the time after which all traffic may move
-EXPOSURE='"expose_share": 0.15, "expose_slack": 30'
+# The others may move all traffic some seconds before a node that has no counts.
+EXPOSURE='"expose_share": 0.15, "expose_slack": 100'
 DEAD_S=8 # until lost nodes count as dead
 
 read_in_turn() {
@@ -47,14 +48,14 @@
 sleep "$DEAD_S"
 start_route_node "$ADDED" "$EXPOSURE"
 wait_route_ready "$ADDED"
-for n in $LEFT; do run "reads$n" read_in_turn "$n" 40; done
+for n in $LEFT; do run "reads$n" read_in_turn "$n" 20; done
 run "reads$ADDED" read_in_turn "$ADDED" 1 # a few requests do not make up for that
 
 say "a good version is completed by those that have the counts"
 order v2
 expect "state" completed "$(rollout_state v2)"
 ! ended "$ADDED" || fail "the node that knows nobody has decided the roll-out"
-grep -q ' E423 .*trial_only=1' "$WORK/route$ADDED.log" || fail "no line says that it does not"
+grep -q ' E423 .*alone=1' "$WORK/route$ADDED.log" || fail "no line says that it is alone"
 
 say "a version that turns bad is reverted"
 start_backend 4 desk v3
