rollout: log who judges a roll-out and how new its counts are

E421 says now whether the node leaves, for how long it has run, and how many of the reports that it has are at most a second old.

--- a/rollout/shift-task.c
+++ b/rollout/shift-task.c
@@ -117,6 +117,7 @@
 /* Logs the plan if its share or state has changed; `by` names its origin. */
 static void log_plan(struct shift_order *o, uint64_t now, const char *by)
 {
+	const struct gateway_state *g = o->t->g;
 	const struct traffic_shift *s = o->shift;
 	struct shift_evidence sum;
 
@@ -127,12 +128,15 @@
 	log_event(LOG_EVENT_SHIFT_PLAN,
 		  "service=%s target=%s state=%s share=%.3f by=%s age_ms=%u "
 		  "over_ms=%u requests=%u sent_new=%u old_in_flight=%u "
-		  "reports=%u nodes=%u why=%s",
+		  "reports=%u new_reports=%u nodes=%u leaving=%d "
+		  "up_ms=%" G_GUINT64_FORMAT " why=%s",
 		  s->service, s->target, shift_state_name(s->plan.state),
 		  (double)s->plan.share / SHIFT_FULL_SHARE, by,
 		  shift_age_ms(s, now), s->time_limit_ms, sum.requests,
 		  sum.sent_new, sum.old_in_flight, s->reports->len,
-		  fleet_task_live_count(o->t->g->fleet),
+		  shift_count_new_reports(s, now),
+		  fleet_task_live_count(g->fleet), g->draining,
+		  now - g->started_at,
 		  s->failed_metric ? s->failed_metric : "-");
 }
 
--- a/rollout/shift.c
+++ b/rollout/shift.c
@@ -284,11 +284,31 @@
 
 		if (known->boot != r->boot || strcmp(known->node, r->node) != 0)
 			continue;
-		if (r->evidence.requests >= known->evidence.requests)
+		if (r->evidence.requests >= known->evidence.requests) {
 			*known = *r;
+			known->received_at = now;
+		}
 		return;
 	}
 	g_array_append_vals(s->reports, r, 1);
+	g_array_index(s->reports, struct shift_report, s->reports->len - 1)
+		.received_at = now;
+}
+
+static bool is_new(const struct shift_report *r, uint64_t now)
+{
+	return now - r->received_at <= SHIFT_REPORT_MAX_AGE_MS;
+}
+
+/* Returns of how many runs of other nodes the last report is new. */
+uint32_t shift_count_new_reports(const struct traffic_shift *s, uint64_t now)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < s->reports->len; i++)
+		n += is_new(&g_array_index(s->reports, struct shift_report, i),
+			    now);
+	return n;
 }
 
 /*
--- a/rollout/shift.h
+++ b/rollout/shift.h
@@ -25,6 +25,7 @@
 #define SHIFT_COUNTS_PER_ROUTE 8 /* 2 versions, 2 metrics, all and bad */
 #define SHIFT_FULL_SHARE 65536 /* a share of 1 in struct shift_plan */
 #define SHIFT_REPORT_INTERVAL_MS 200
+#define SHIFT_REPORT_MAX_AGE_MS 1000 /* then a node counts as silent */
 #define SHIFT_TRIAL_ROTATION_MS 2500 /* until the trial uses other servers */
 #define SHIFT_FILL_SLOT_SHARE 0.75 /* of a server's slots, when filled */
 
@@ -62,6 +63,7 @@
 	uint64_t boot; /* differs between runs of the node */
 	uint32_t age_ms; /* since the order */
 	struct shift_evidence evidence;
+	uint64_t received_at; /* ms; not sent */
 };
 
 enum shift_state {
@@ -184,6 +186,7 @@
 			     uint64_t session);
 uint32_t shift_age_ms(const struct traffic_shift *s, uint64_t now);
 struct shift_evidence shift_total_evidence(const struct traffic_shift *s);
+uint32_t shift_count_new_reports(const struct traffic_shift *s, uint64_t now);
 const char *shift_state_name(enum shift_state state);
 
 #endif
