rollout: leave judging to nodes that stay

Cause: a node that leaves serves on for up to grace_s and goes on judging. The others leave it out of their ranks and send it no reports; once those that come before it leave as well, it comes first in its own member table, with the counts of before its SIGTERM, and few requests may all be moved within the slack.

Now the coordinator of a roll-out is the first node by rank that does not leave (fleet_task_coordinates()), also where the plan is sent to all. A node that leaves still counts, reports, reverts by its own test and passes on a higher share.

--- a/fleet/fleet-task.c
+++ b/fleet/fleet-task.c
@@ -172,6 +172,15 @@
 	return rank_of_self(&v, role);
 }
 
+/*
+ * Returns whether this node coordinates a role: it comes first, and stays. The others
+ * leave out a node that leaves, and send it nothing that the role needs.
+ */
+bool fleet_task_coordinates(const struct fleet_task *t, const char *role)
+{
+	return !t->g->draining && !fleet_task_rank(t, role);
+}
+
 /* Returns the number of nodes alive or suspect, including this one. */
 uint32_t fleet_task_live_count(const struct fleet_task *t)
 {
@@ -278,9 +287,8 @@
 
 /*
  * Sends this node's counts of each open roll-out to its evaluators. The
- * coordinator, which has rank 0, sends its plan to all; any other node that has
- * reverted the roll-out, or whose plan the coordinator has lost, sends that to the
- * evaluators.
+ * coordinator sends its plan to all; any other node that has reverted the roll-out,
+ * or whose plan the coordinator has lost, sends that to the evaluators.
  */
 static void send_shift_state(struct fleet_task *t, uint64_t now)
 {
@@ -293,7 +301,7 @@
 		if (!shift_task_is_open(t->g->shifts, i))
 			continue;
 		send_report(t, s, now);
-		if (!fleet_task_rank(t, s->service))
+		if (fleet_task_coordinates(t, s->service))
 			send_plan(t, s, now, true);
 		else if (s->plan.state == SHIFT_REVERTED || shift_is_ahead(s))
 			send_plan(t, s, now, false);
--- a/rollout/shift-task.c
+++ b/rollout/shift-task.c
@@ -322,7 +322,7 @@
 	s->own_evidence.old_in_flight = old_in_flight(g, s);
 	if (shift_detect_regression(s, now))
 		log_plan(o, now, "self");
-	if (!fleet_task_rank(g->fleet, s->service)) {
+	if (fleet_task_coordinates(g->fleet, s->service)) {
 		p.alone = judges_alone(o);
 		shift_update_plan(
 			s, now, &p,
--- a/rollout/shift-task.h
+++ b/rollout/shift-task.h
@@ -13,8 +13,8 @@
 
 /*
  * Keeps the roll-out orders known to this node and the traffic shift of each:
- * updates the plan while this node is the coordinator (has rank 0 for the
- * service), and writes the final state to the platform. Times are milliseconds
+ * updates the plan while this node is the coordinator of the service (see
+ * fleet_task_coordinates()), and writes the final state to the platform. Times are milliseconds
  * of the node's own clock.
  */
 struct shift_controller;
--- a/rollout/shift.h
+++ b/rollout/shift.h
@@ -10,8 +10,8 @@
 /*
  * Shifts a service's traffic from the servers of its old version to those of a
  * new one, within the time set by a roll-out order. Every node counts requests
- * and answers and reports its counts. The coordinator, the node of rank 0 for
- * the service, evaluates the counts of all nodes and sends them the plan: the
+ * and answers and reports its counts. The coordinator, the first node by rank
+ * for the service that does not leave, evaluates the counts of all nodes and sends them the plan: the
  * share of sessions that use the new version. Times are milliseconds of the
  * node's own clock.
  *
