rollout: move late when counts are missing

Cause: the first node by rank judges by the reports that it has, however few. One that has run for 0.1 to 0.2 s knows one or two others, comes first among them, has the order's age from their first report, and takes the lack of counts for a lack of requests: nothing expected is within what is allowed beyond the share. A node that was cut off, or whose process stood still, lacks counts in the same way.

Change: rollout/coverage.c tells whether the judge has the counts of all: it has got the reports without a break since the order, has seen no node dead since, and has a new report of each node that may serve. Without them it moves all traffic and completes only as late as a lone judge does, where the bound holds whatever has not been counted. That is why it works: what is missing can be any part of the requests. E423 gives the gap.

t0073 now counts the requests at the new version while five nodes restart in turn.

--- a/daemon/gateway.c
+++ b/daemon/gateway.c
@@ -134,6 +134,7 @@
 			g->resumed_at);
 	platform_feed_confirm(g->feed);
 	fleet_task_on_pause(g->fleet, g->resumed_at, ms);
+	shift_task_on_pause(g->shifts, g->resumed_at);
 }
 
 /* Returns whether new requests wait after a pause. */
--- a/fleet/fleet-task.c
+++ b/fleet/fleet-task.c
@@ -181,6 +181,12 @@
 	return !t->g->draining && !fleet_task_rank(t, role);
 }
 
+/* Returns whether this node gets the reports of the others for a role. */
+bool fleet_task_gets_reports(const struct fleet_task *t, const char *role)
+{
+	return !t->g->draining && fleet_task_rank(t, role) < EVALUATORS;
+}
+
 /* Returns the number of nodes alive or suspect, including this one. */
 uint32_t fleet_task_live_count(const struct fleet_task *t)
 {
@@ -234,6 +240,23 @@
 	return false;
 }
 
+/*
+ * Appends the names of the members that may serve requests to `names`. They are valid
+ * until the loop goes on.
+ */
+void fleet_task_list_serving(const struct fleet_task *t, GPtrArray *names)
+{
+	const GArray *members = t->members.members;
+
+	for (guint i = 0; i < members->len; i++) {
+		struct member_entry *m =
+			&g_array_index(members, struct member_entry, i);
+
+		if (may_serve(t, m))
+			g_ptr_array_add(names, m->info.name);
+	}
+}
+
 /*
  * Sends a message to all members that serve requests; those that leave do so until
  * their time to stop is over.
--- a/fleet/fleet-task.h
+++ b/fleet/fleet-task.h
@@ -29,6 +29,8 @@
 void fleet_task_leave(struct fleet_task *t);
 uint32_t fleet_task_rank(const struct fleet_task *t, const char *role);
 bool fleet_task_coordinates(const struct fleet_task *t, const char *role);
+bool fleet_task_gets_reports(const struct fleet_task *t, const char *role);
+void fleet_task_list_serving(const struct fleet_task *t, GPtrArray *names);
 bool fleet_task_is_isolated(const struct fleet_task *t);
 uint32_t fleet_task_live_count(const struct fleet_task *t);
 void fleet_task_send(struct fleet_task *t, struct member_addr to,
--- a/log-event.h
+++ b/log-event.h
@@ -58,7 +58,7 @@
 	X(ROLLOUT_ORDER, 420, MESSAGE, "roll-out order")                       \
 	X(SHIFT_PLAN, 421, MESSAGE, "roll-out plan")                           \
 	X(ROLLOUT_WRITTEN, 422, MESSAGE, "end of a roll-out written")          \
-	X(ROLLOUT_ALONE, 423, WARNING, "roll-out judged by a lone node")       \
+	X(ROLLOUT_PARTIAL, 423, WARNING, "roll-out judged without all counts") \
 	X(SERVER_CHANGED, 710, MESSAGE, "server changed state")                \
 	X(SERVER_UNUSABLE, 723, WARNING, "entry names no server to use")       \
 	X(SERVER_PAUSE, 713, MESSAGE, "server asked for a pause")              \
--- a/rollout/shift-task.c
+++ b/rollout/shift-task.c
@@ -8,6 +8,7 @@
 #include "json-check.h"
 #include "log-event.h"
 #include "platform/feed-task.h"
+#include "rollout/coverage.h"
 
 #define WRITE_RETRY_MS 700
 #define WRITE_DELAY_PER_RANK_MS 1500
@@ -22,7 +23,9 @@
 	uint64_t next_write_at; /* of the final state */
 	bool writing; /* a write is under way */
 	bool listed; /* present in the listing being applied */
-	bool logged_alone; /* see judges_alone() */
+	struct coverage coverage;
+	enum coverage_gap logged_gap; /* see has_all_counts() */
+	bool logged_alone;
 	uint32_t logged_plan; /* share + state of the plan logged last */
 	struct fleet_wire_sessions unsent_sessions; /* for the other nodes */
 };
@@ -290,25 +293,32 @@
 }
 
 /*
- * Returns whether the judge of a roll-out has found no other node. Logs, once each,
- * that it is so and that it is not any more.
+ * Returns whether this node, which judges the roll-out, has the counts of all others.
+ * Logs, once each, that it has not, why, and that it has.
  */
-static bool judges_alone(struct shift_order *o)
+static bool has_all_counts(struct shift_order *o, uint64_t now,
+			   const struct coverage_view *v)
 {
 	const struct fleet_task *fleet = o->t->g->fleet;
 	bool alone = fleet_task_is_isolated(fleet);
+	enum coverage_gap gap =
+		coverage_find_gap(&o->coverage, o->shift, now, v);
 
-	if (alone != o->logged_alone) {
+	if (alone != o->logged_alone || gap != o->logged_gap) {
 		o->logged_alone = alone;
-		log_event(LOG_EVENT_ROLLOUT_ALONE,
-			  "service=%s target=%s alone=%d nodes=%u",
+		o->logged_gap = gap;
+		log_event(LOG_EVENT_ROLLOUT_PARTIAL,
+			  "service=%s target=%s alone=%d gap=%s nodes=%u "
+			  "new_reports=%u",
 			  o->shift->service, o->shift->target, alone,
-			  fleet_task_live_count(fleet));
+			  coverage_gap_name(gap), fleet_task_live_count(fleet),
+			  shift_count_new_reports(o->shift, now));
 	}
-	return alone;
+	return !alone && gap == COVERAGE_COMPLETE;
 }
 
-static void tick_order(struct shift_order *o, uint64_t now)
+static void tick_order(struct shift_order *o, uint64_t now,
+		       struct coverage_view *view)
 {
 	struct gateway_state *g = o->t->g;
 	struct traffic_shift *s = o->shift;
@@ -319,11 +329,13 @@
 
 	if (is_final(o->state))
 		return;
+	view->gets_reports = fleet_task_gets_reports(g->fleet, s->service);
+	coverage_update(&o->coverage, now, view);
 	s->own_evidence.old_in_flight = old_in_flight(g, s);
 	if (shift_detect_regression(s, now))
 		log_plan(o, now, "self");
 	if (fleet_task_coordinates(g->fleet, s->service)) {
-		p.alone = judges_alone(o);
+		p.partial_counts = !has_all_counts(o, now, view);
 		shift_update_plan(
 			s, now, &p,
 			server_count_ready(&g->servers, s->service, s->target));
@@ -335,9 +347,29 @@
 
 /* Updates the plan of each open order and writes final states; for a timer. */
 void shift_task_tick(struct shift_controller *t, uint64_t now)
+{
+	const struct member_table *members = fleet_task_members(t->g->fleet);
+	g_autoptr(GPtrArray) serving = g_ptr_array_new();
+	struct coverage_view view = {
+		.any_dead = member_count(members, MEMBER_DEAD) > 0,
+	};
+
+	if (!t->orders->len)
+		return;
+	fleet_task_list_serving(t->g->fleet, serving);
+	view.serving = (const char *const *)serving->pdata;
+	view.n_serving = serving->len;
+	for (guint i = 0; i < t->orders->len; i++)
+		tick_order(t->orders->pdata[i], now, &view);
+}
+
+/* Handles the end of a pause of the process, in which reports were not received. */
+void shift_task_on_pause(struct shift_controller *t, uint64_t now)
 {
 	for (guint i = 0; i < t->orders->len; i++)
-		tick_order(t->orders->pdata[i], now);
+		coverage_on_pause(
+			&((struct shift_order *)t->orders->pdata[i])->coverage,
+			now);
 }
 
 /* Returns the order to move the service to that target, or NULL. */
@@ -439,7 +471,8 @@
 	memset(r, 0, sizeof(*r));
 	g_strlcpy(r->service, s->service, sizeof(r->service));
 	g_strlcpy(r->target, s->target, sizeof(r->target));
-	g_strlcpy(r->report.node, t->g->settings->node, sizeof(r->report.node));
+	/* As members know it. */
+	g_strlcpy(r->report.node, t->g->settings->node, MEMBER_NAME_BYTES);
 	r->report.boot = t->g->boot;
 	r->report.age_ms = shift_age_ms(s, now);
 	r->report.evidence = s->own_evidence;
--- a/rollout/shift-task.h
+++ b/rollout/shift-task.h
@@ -27,6 +27,7 @@
 void shift_task_on_order_removed(struct shift_controller *t,
 				 const char *service);
 void shift_task_tick(struct shift_controller *t, uint64_t now);
+void shift_task_on_pause(struct shift_controller *t, uint64_t now);
 void shift_task_on_report(struct shift_controller *t, uint64_t now,
 			  const struct fleet_wire_report *r);
 void shift_task_on_plan(struct shift_controller *t, uint64_t now,
--- a/rollout/shift.c
+++ b/rollout/shift.c
@@ -295,7 +295,8 @@
 		.received_at = now;
 }
 
-static bool is_new(const struct shift_report *r, uint64_t now)
+/* Returns whether the report is at most SHIFT_REPORT_MAX_AGE_MS old. */
+bool shift_report_is_new(const struct shift_report *r, uint64_t now)
 {
 	return now - r->received_at <= SHIFT_REPORT_MAX_AGE_MS;
 }
@@ -306,8 +307,9 @@
 	uint32_t n = 0;
 
 	for (guint i = 0; i < s->reports->len; i++)
-		n += is_new(&g_array_index(s->reports, struct shift_report, i),
-			    now);
+		n += shift_report_is_new(
+			&g_array_index(s->reports, struct shift_report, i),
+			now);
 	return n;
 }
 
@@ -529,8 +531,8 @@
 	if (shift_age_ms(s, now) < s->session_ms + START_DELAY_MS)
 		return 0;
 	if (shift_age_ms(s, now) >= MOVE_START_FRACTION * s->time_limit_ms &&
-	    (p->alone ? late_move_is_safe(s, now, p)
-		      : full_share_is_safe(s, now, p, e)))
+	    (p->partial_counts ? late_move_is_safe(s, now, p)
+			       : full_share_is_safe(s, now, p, e)))
 		return 1;
 	if (!trial_is_safe(p, e))
 		return 0;
@@ -610,7 +612,7 @@
 	plan.share = MAX(plan.share, desired);
 	plan.fills = plan.fills || may_fill(&sum);
 	if (ready_new && may_complete(s, now, &sum) &&
-	    (!p->alone || late_move_is_safe(s, now, p)))
+	    (!p->partial_counts || late_move_is_safe(s, now, p)))
 		plan.state = SHIFT_COMPLETED;
 	apply_plan(s, now, &plan);
 	return plan;
--- a/rollout/shift.h
+++ b/rollout/shift.h
@@ -84,8 +84,7 @@
 struct shift_params {
 	double expose_share; /* of the requests for the service */
 	double expose_slack; /* requests allowed beyond that share */
-	/* The coordinator knows no other node: requests may be in no report. */
-	bool alone;
+	bool partial_counts; /* requests may be in no report */
 };
 
 /* Version used by a session's last request, as far as this node knows. */
@@ -186,6 +185,7 @@
 			     uint64_t session);
 uint32_t shift_age_ms(const struct traffic_shift *s, uint64_t now);
 struct shift_evidence shift_total_evidence(const struct traffic_shift *s);
+bool shift_report_is_new(const struct shift_report *r, uint64_t now);
 uint32_t shift_count_new_reports(const struct traffic_shift *s, uint64_t now);
 const char *shift_state_name(enum shift_state state);
 
--- a/t/t0073-rollout-restarts.sh
+++ b/t/t0073-rollout-restarts.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# A node that leaves must not go on deciding a roll-out: the others send it no counts, and
-# it takes itself for the coordinator once those before it leave as well.
+# Restarts in turn during a roll-out must not move traffic early: a node that leaves, or
+# has just started, lacks the counts of the others, and by few counts all may move.
 set -u
 cd "$(dirname "$0")/.." || exit 1
 BASE=${BASE:-4650}
@@ -9,6 +9,8 @@
 
 NODES="1 2 3 4 5"
 OVER_S=16
+SHARE_PERCENT=15 # of the requests between the order and its end, for a bad version
+SLACK=30         # requests beyond
 EXPOSURE='"expose_share": 0.15, "expose_slack": 30'
 # Node and ms after the order at which it is stopped; it takes 3.6 s to leave. Ranks for
 # the service are 1 3 4 5 2: at half of the time node 5, which was sent no reports, leaves
@@ -41,6 +43,7 @@
 for n in $NODES; do wait_route_ready "$n"; done
 for n in $NODES; do run "reads$n" read_in_turn "$n"; done
 sleep "$WATCH_S"
+before=$(($(runs 1) + $(runs 2)))
 put_object rollouts/desk '{"spec":{"service":"desk","target":"v2","over_s":'$OVER_S'}}'
 ordered=$(date +%s%3N)
 until_ms() {
@@ -57,6 +60,12 @@
 done
 
 until_ms $((OVER_S * 1000))
+new=$(runs 3)
+all=$(($(runs 1) + $(runs 2) + new - before))
+say "requests at the new version: $new of $all"
+[ "$all" -gt 150 ] || fail "only $all requests were served"
+[ $((new * 100)) -le $((all * SHARE_PERCENT + SLACK * 100)) ] ||
+	fail "$new of $all requests used the new version before the time was over: $(grep -h ' E421 .*share=1.000 by=judge' "$WORK"/route*.log | head -n 1)"
 ! grep -h ' E421 .* by=judge .*leaving=1' "$WORK"/route*.log || fail "a node that leaves has decided"
 until_true 2 is_completed || fail "the roll-out of a good version is $(rollout_state)"
 say "rollout restarts: passed"
--- a/t/unit/shift_test.cc
+++ b/t/unit/shift_test.cc
@@ -217,7 +217,7 @@
 {
 	for (uint64_t seed = 1; seed <= 10; seed++) {
 		Fleet f(1, 24000, seed);
-		f.params.alone = true;
+		f.params.partial_counts = true;
 		f.run(0);
 		EXPECT_EQ(f.nodes[0]->plan.state, SHIFT_COMPLETED)
 			<< "seed " << seed;
@@ -243,7 +243,7 @@
 {
 	for (uint64_t seed = 1; seed <= 10; seed++) {
 		Fleet f(1, 24000, seed);
-		f.params.alone = true;
+		f.params.partial_counts = true;
 		f.run(0.5);
 		EXPECT_EQ(f.nodes[0]->plan.state, SHIFT_REVERTED)
 			<< "seed " << seed;
@@ -463,7 +463,7 @@
 	traffic_shift *other = shift_new("s", "v2", 24000, 5000, 0);
 	traffic_shift *again = shift_new("s", "v2", 24000, 5000, 23000);
 	const shift_plan full = {22500, SHIFT_FULL_SHARE, SHIFT_IN_PROGRESS, true};
-	shift_report report = {"other", 1, 23500, {}};
+	shift_report report = {"other", 1, 23500, {}, 0};
 
 	shift_on_plan(other, 22500, &full);
 	EXPECT_FALSE(shift_is_ahead(other));
