rollout: leave room for the spread

Cause: all traffic moved once the expected number of requests until the end was within nine tenths of the bound. The tenth doesn't cover the spread of a small number. Ruled out: missing counts, since nothing was restarted or cut off.

Change: the move leaves room for three standard deviations of the requests still to come, with the variance of independent arrivals.

Test: Shift.AMoveOfFewRequestsLeavesRoomForTheSpreadOfTheirNumber, before: 43 of 400 fleets over the bound; after: none.

--- a/rollout/shift.c
+++ b/rollout/shift.c
@@ -1,5 +1,6 @@
 #include "rollout/shift.h"
 
+#include <math.h>
 #include <string.h>
 
 /*
@@ -11,6 +12,7 @@
 #define MAX_TRIAL_SHARE 0.04 /* of sessions */
 #define TRIAL_SHARE_FACTOR 0.36 /* of expose_share */
 #define EXPOSURE_SAFETY_FACTOR 0.9 /* of the exposure limit */
+#define SPREAD_DEVIATIONS 3 /* standard deviations of a number of requests */
 #define MIN_COMPARED_TO_FILL 40 /* answers with their latency compared */
 #define MIN_COMPARED_TO_COMPLETE 40
 #define MIN_COMPARED_SHARE 0.8 /* of those sent, if that is fewer */
@@ -490,8 +492,10 @@
 	double allowed_requests =
 		p->expose_share * (e->requests + expected_requests) +
 		p->expose_slack;
+	/* Independent arrivals: the variance of their number is its mean. */
+	double spread = SPREAD_DEVIATIONS * sqrt(expected_requests);
 
-	return e->sent_new + expected_requests <=
+	return e->sent_new + expected_requests + spread <=
 	       EXPOSURE_SAFETY_FACTOR * allowed_requests;
 }
 
--- a/t/unit/shift_test.cc
+++ b/t/unit/shift_test.cc
@@ -59,6 +59,8 @@
 	// By session: whether its last request used the new version, and when.
 	std::map<uint64_t, std::pair<bool, uint64_t>> sessions;
 
+	uint32_t rate = 85;
+
 	Fleet(size_t n, uint32_t over, uint64_t seed) : time_limit_ms(over)
 	{
 		rng_seed(&r, seed);
@@ -161,13 +163,13 @@
 			running.erase(running.begin());
 		}
 	}
-	// Simulates the time allowed, with 85 requests per second on average.
+	// Simulates the time allowed, with `rate` requests per second on average.
 	void run(double bad_share, uint64_t bad_from = 0)
 	{
 		for (uint64_t now = 1; now < time_limit_ms; now++) {
 			if (now % 200 == 0)
 				exchange(now);
-			if (rng_below(&r, 1000) < 85)
+			if (rng_below(&r, 1000) < rate)
 				request(now, bad_share, bad_from);
 			end_answers(now);
 		}
@@ -271,6 +273,21 @@
 	}
 }
 
+// A move that was safe for the expected number of requests exceeded the limit when a few
+// more came.
+TEST(Shift, AMoveOfFewRequestsLeavesRoomForTheSpreadOfTheirNumber)
+{
+	for (uint32_t rate : {12u, 35u}) {
+		for (uint64_t seed = 1; seed <= 200; seed++) {
+			Fleet f(9, 16000, seed);
+			f.rate = rate;
+			f.run(0);
+			EXPECT_LE(f.sent_new, 0.15 * f.requests + 30)
+				<< "rate " << rate << " seed " << seed;
+		}
+	}
+}
+
 // Whenever the new version turns bad, the shift must be reverted before that
 // version has received more requests than the limit.
 TEST(Shift, BadVersionStaysWithinExposureLimit)
