--- a/rollout/shift-task.h
+++ b/rollout/shift-task.h
@@ -14,8 +14,8 @@
 /*
  * Keeps the roll-out orders known to this node and the traffic shift of each:
  * updates the plan while this node is the coordinator of the service (see
- * fleet_task_coordinates()), and writes the final state to the platform. Times are milliseconds
- * of the node's own clock.
+ * fleet_task_coordinates()), and writes the final state to the platform. Times
+ * are milliseconds of the node's own clock.
  */
 struct shift_controller;
 
--- a/rollout/shift.h
+++ b/rollout/shift.h
@@ -11,9 +11,9 @@
  * Shifts a service's traffic from the servers of its old version to those of a
  * new one, within the time set by a roll-out order. Every node counts requests
  * and answers and reports its counts. The coordinator, the first node by rank
- * for the service that does not leave, evaluates the counts of all nodes and sends them the plan: the
- * share of sessions that use the new version. Times are milliseconds of the
- * node's own clock.
+ * for the service that does not leave, evaluates the counts of all nodes and
+ * sends them the plan: the share of sessions that use the new version. Times are
+ * milliseconds of the node's own clock.
  *
  * During the trial a small share of new sessions uses the new version. Later
  * all sessions move to it at once, as soon as that keeps within the limit of
