t0073: see a node judge while it leaves

The test now also fails when a node logs E423, or E421 by=judge, between E101 and E102. The checks that it had stay as they are.

--- a/t/t0073-rollout-restarts.sh
+++ b/t/t0073-rollout-restarts.sh
@@ -26,6 +26,11 @@
 is_completed() { [ "$(rollout_state)" = completed ]; }
 # runs N: how many requests the backend server N has run.
 runs() { curl -fs -m 5 "http://$(backend_address "$1")/ran" | wc -l; }
+# judged_while_leaving: the lines by which a node judged between E101 and E102.
+judged_while_leaving() {
+	awk 'FNR == 1 || / E102 / { leaving = 0 } / E101 / { leaving = 1 }
+		leaving && (/ E423 / || / E421 .* by=judge /)' "$WORK"/route*.log
+}
 # restart N PID: stops a node that passes a stream on, and starts it when it has ended.
 restart() {
 	start_stream "held$1" "$1" /talk/stream-pause
@@ -67,5 +72,7 @@
 [ $((new * 100)) -le $((all * SHARE_PERCENT + SLACK * 100)) ] ||
 	fail "$new of $all requests used the new version before the time was over: $(grep -h ' E421 .*share=1.000 by=judge' "$WORK"/route*.log | head -n 1)"
 ! grep -h ' E421 .* by=judge .*leaving=1' "$WORK"/route*.log || fail "a node that leaves has decided"
+judged=$(judged_while_leaving)
+[ -z "$judged" ] || fail "a node that leaves judges: ${judged%%$'\n'*}"
 until_true 2 is_completed || fail "the roll-out of a good version is $(rollout_state)"
 say "rollout restarts: passed"
